--- /dev/null
+++ b/peattrestle/__init__.py
@@ -0,0 +1,1 @@
+"""peattrestle: a call controller for a network of exchanges."""
--- /dev/null
+++ b/peattrestle/control.py
@@ -0,0 +1,657 @@
+"""Every decision of peattrestle: which way a call is set up, and whether it is set up at all.
+
+Callers make one `Controller(seed, settings)` for each call agent and hand it each batch of events with
+`handle(now, events)`, which returns the actions in order. The types of both are in `interface.py`. Settings
+are a flat map of names to values ('gos_target:NAME' is that of one bearer type); times are nanoseconds.
+
+The ordinary path is the design's (docs/design.md): direct while the own group has room, else up to two
+tandems by rising score with a leg margin. Beside it stand these mechanisms, six at most:
+
+1. cold budget: an exchange that has just started gets no more than this agent's share of what fells it;
+2. silence guard: an exchange that answers nothing gets only trial calls until it answers;
+3. turning away: calls through a pressed processor are turned away by chance, cheaper ones more often;
+4. called-number gap: calls to a number whose lines are all busy are turned away for a while.
+
+Each exchange is an actor with an inbox, the own one too; `Home` keeps the calls. To set a call up, Home
+offers it by notes to the own exchange, to the destination and to a tandem in turn; each takes or declines.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from peattrestle.interface import (Abort, Action, Block, CallArrived, CallerLeft, Entry, Event, FollowList,
+                                   Listed, Load, Log, Reported, Settings, SetTimer, SetUp, Stood, TimerDue,
+                                   TryEnded)
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+
+# The design page's starting values, all marked there as ours and open.
+SLOT = SECOND
+SPAN_SLOTS = 10
+FEWEST_SETUPS = 5
+WARNING, CRITICAL = 1, 10
+ANSWER_RATIO_WARNING, ANSWER_RATIO_CRITICAL = 0.8, 0.5
+DELAY_WARNING, DELAY_CRITICAL = SECOND, 3 * SECOND
+ANSWER_RATIO_WEIGHT = DELAY_WEIGHT = 1
+MOST_TANDEMS = 2
+LEG_MARGIN = 2
+
+
+@dataclass(slots=True)
+class Offer:
+    """Home asks an exchange to let a call through; `role` is 'own', 'destination' or 'tandem'."""
+
+    call: Call
+    role: str
+
+
+@dataclass(slots=True)
+class Taken:
+    """The exchange lets the call through."""
+
+    call: Call
+    exchange: Exchange
+    role: str
+
+
+@dataclass(slots=True)
+class Declined:
+    """The exchange does not; `come_back` tells how long the reason may last."""
+
+    call: Call
+    exchange: Exchange
+    role: str
+    come_back: int
+
+
+@dataclass(slots=True)
+class Sent:
+    """A set-up went out to this exchange."""
+
+
+@dataclass(slots=True)
+class Heard:
+    """An answer came from this exchange; `waited` is how long it took, where that tells of its processor."""
+
+    waited: int = -1
+
+
+@dataclass(slots=True)
+class Told:
+    """The list's line for this exchange; `sure` is false for a list that may be old."""
+
+    entry: Entry
+    sure: bool
+
+
+@dataclass(slots=True)
+class Figures:
+    """Load figures of this exchange, the own group's circuits among them."""
+
+    load: Load
+
+
+Note = Offer | Taken | Declined | Sent | Heard | Told | Figures | Event
+
+
+class Actor:
+    """Something with an inbox; only the loop empties it."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.inbox: deque[Note] = deque()
+
+    def receive(self, note: Note) -> None:
+        raise NotImplementedError
+
+
+class Loop:
+    """Delivers notes in the order they were put; also what all actors share: clock, chance, actions."""
+
+    def __init__(self, seed: int, settings: Settings) -> None:
+        self.settings = settings
+        self.now = 0
+        self.actions: list[Action] = []
+        self._state = seed & 0xFFFFFFFFFFFFFFFF
+        self._waiting: deque[Actor] = deque()
+
+    def put(self, actor: Actor, note: Note) -> None:
+        actor.inbox.append(note)
+        self._waiting.append(actor)
+
+    def run(self) -> None:
+        while self._waiting:
+            actor = self._waiting.popleft()
+            actor.receive(actor.inbox.popleft())
+
+    def chance(self) -> float:
+        """Knuth's MMIX generator; the low bits of such a generator repeat soon, so the high ones are used."""
+        self._state = (self._state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return (self._state >> 40) / (1 << 24)
+
+    def bearer(self, name: str, bearer_type: str, default: int) -> int:
+        value: int = self.settings.get(f"{name}:{bearer_type}", default)
+        return value
+
+
+@dataclass(slots=True)
+class Slot:
+    """One sampling interval of the design's statistics for a destination and route."""
+
+    index: int
+    setups: int = 0
+    stood: int = 0
+    delay: int = 0
+
+
+class RouteRecord:
+    """Answer ratio and set-up delay of one destination and route over the design's span."""
+
+    __slots__ = ("slots",)
+
+    def __init__(self) -> None:
+        self.slots: deque[Slot] = deque()
+
+    def note(self, now: int, stood: bool, delay: int) -> None:
+        index = now // SLOT
+        self.rotate(index)
+        if not self.slots or self.slots[-1].index != index:
+            self.slots.append(Slot(index))
+        slot = self.slots[-1]
+        slot.setups += 1
+        slot.stood += stood
+        slot.delay += delay
+
+    def rotate(self, index: int) -> None:
+        while self.slots and self.slots[0].index <= index - SPAN_SLOTS:
+            self.slots.popleft()
+
+    def score(self, now: int) -> int:
+        self.rotate(now // SLOT)
+        setups = sum(slot.setups for slot in self.slots)
+        if setups < FEWEST_SETUPS:
+            return 0
+        ratio = sum(slot.stood for slot in self.slots) / setups
+        delay = sum(slot.delay for slot in self.slots) / setups
+        score = 0
+        if ratio < ANSWER_RATIO_WARNING:
+            score += ANSWER_RATIO_WEIGHT * (CRITICAL if ratio < ANSWER_RATIO_CRITICAL else WARNING)
+        if delay > DELAY_WARNING:
+            score += DELAY_WEIGHT * (CRITICAL if delay > DELAY_CRITICAL else WARNING)
+        return score
+
+
+class WaitHistogram:
+    """Set-up delays in shares of the GoS target; halved so that old ones fade."""
+
+    EDGES = (0.25, 0.5, 0.75, 1.0, 1.5, 2.0)
+    MIDDLES = (0.15, 0.375, 0.625, 0.875, 1.25, 1.75, 2.25)
+    HALVE_EVERY = SECOND
+    FEWEST = 2.0  # below this weight a mean says nothing
+
+    __slots__ = ("bins", "halve_at")
+
+    def __init__(self) -> None:
+        self.bins = [0.0] * len(self.MIDDLES)
+        self.halve_at = 0
+
+    def note(self, now: int, share: float) -> None:
+        self.fade(now)
+        place = 0
+        while place < len(self.EDGES) and share > self.EDGES[place]:
+            place += 1
+        self.bins[place] += 1
+
+    def fade(self, now: int) -> None:
+        if now >= self.halve_at + 8 * self.HALVE_EVERY:
+            self.bins = [0.0] * len(self.MIDDLES)
+            self.halve_at = now + self.HALVE_EVERY
+        while now >= self.halve_at:
+            self.bins = [one / 2 for one in self.bins]
+            self.halve_at += self.HALVE_EVERY
+
+    def mean(self, now: int) -> float:
+        self.fade(now)
+        weight = sum(self.bins)
+        if weight < self.FEWEST:
+            return 0.0
+        return sum(one * middle for one, middle in zip(self.bins, self.MIDDLES, strict=True)) / weight
+
+
+class Exchange(Actor):
+    """What is known of one exchange, and whether a call may be sent through it now."""
+
+    UNHEARD = 3           # set-ups unanswered before silence is believed: one or two can be lost singly
+    TRIAL_EVERY = SECOND  # one trial call a second finds out soon enough that it is back
+    TURN_FROM, TURN_TO = 0.5, 1.5  # waits, in GoS targets, at which turning away starts and is complete
+    TURN_MOST = 0.9       # some calls always go, or nothing would tell that the pressure has gone
+    SHARE_USED = 0.8      # of the share of the cold budget: room for work that is not seen here
+
+    def __init__(self, loop: Loop, home: Home, name: str) -> None:
+        super().__init__(loop)
+        self.home = home
+        self.name = name
+        self.number = -1
+        self.state = "gone"
+        self.cold_until = 0
+        self.free = 0
+        self.size = -1
+        self.sent: deque[int] = deque()
+        self.unheard = 0
+        self.unheard_since = 0
+        self.trial_at = 0
+        self.waits = WaitHistogram()
+        self.reported_wait = 0.0
+        self.reported_at = 0
+        self.full_until = 0
+
+    def receive(self, note: Note) -> None:
+        match note:
+            case Offer():
+                come_back = self.reason(note)
+                if come_back < 0:
+                    self.loop.put(self.home, Taken(note.call, self, note.role))
+                else:
+                    self.loop.put(self.home, Declined(note.call, self, note.role, come_back))
+            case Sent():
+                if self.unheard == 0:
+                    self.unheard_since = self.loop.now
+                self.unheard += 1
+            case Heard(waited):
+                if self.unheard >= self.UNHEARD and self.silent():
+                    self.loop.actions.append(Log(f"exchange {self.number} answers again"))
+                self.unheard = 0
+                if waited >= 0:
+                    self.waits.note(self.loop.now, waited / self.home.target)
+            case Told(entry, sure):
+                self.told(entry, sure)
+            case Figures(load):
+                self.figures(load)
+            case _:
+                raise TypeError(f"exchange got {note!r}")
+
+    def told(self, entry: Entry, sure: bool) -> None:
+        self.number = entry.number
+        self.state = entry.state
+        get = self.loop.settings.get
+        cold_time = get("cold_time", 0)
+        if entry.started_at:
+            self.cold_until = max(self.cold_until, entry.started_at + cold_time)
+        if not sure:
+            # A restarted agent has an old list: any exchange may have restarted since, so all may be cold.
+            self.cold_until = max(self.cold_until, self.loop.now + cold_time)
+
+    def figures(self, load: Load) -> None:
+        self.free = int(load.get("free", self.free))
+        self.size = int(load.get("size", self.size))
+        if "wait_ms" in load:
+            self.reported_wait = load["wait_ms"] * MS
+            self.reported_at = self.loop.now
+        elif "queue" in load and load.get("rate", 0) > 0:
+            self.reported_wait = load["queue"] / load["rate"] * SECOND
+            self.reported_at = self.loop.now
+
+    def reason(self, offer: Offer) -> int:
+        """Below zero: let the call through; else declined, and how long that may last."""
+        now = self.loop.now
+        if self.state != "ready":
+            return SECOND
+        if offer.role != "own" and self.silent() and now < self.trial_at:
+            return SECOND
+        if now < self.cold_until and not self.cold_room(offer.call.width):
+            return self.loop.settings.get("fall_time", 0) // 2
+        if offer.role != "own":
+            if self.pressed(offer.call):
+                return SECOND
+            if self.silent():
+                self.trial_at = now + self.TRIAL_EVERY
+        if now < self.cold_until:
+            self.sent.append(now)
+        return -1
+
+    def has_room(self, circuits: int) -> bool:
+        """A group nothing is known of yet is tried: the wire turns a set-up without circuits back unsent."""
+        return self.state == "ready" and (self.size < 0 or self.free >= circuits)
+
+    def silent(self) -> bool:
+        """Guards against crash, hang and cut alike: sends go in and nothing at all comes back."""
+        return self.unheard >= self.UNHEARD and self.loop.now - self.unheard_since > self.home.target
+
+    def cold_room(self, width: int) -> bool:
+        """Guards rule 4: all agents may take the same step at once, so each keeps to its part of the budget.
+
+        What like exchanges carry is read off the own groups: their circuits over the mean holding time.
+        """
+        get = self.loop.settings.get
+        window = get("fall_time", 0)
+        while self.sent and self.sent[0] <= self.loop.now - window:
+            self.sent.popleft()
+        carried = self.home.carried_per_second()
+        budget = get("fall_multiple", 1) * get("cold_from", 1) * carried * window / SECOND
+        return len(self.sent) + 1 <= max(1.0, self.SHARE_USED * budget / max(1, get("agents", 1)))
+
+    def pressed(self, call: Call) -> bool:
+        """Guards against any slow processor on the way: a call that would stand late is work for nothing."""
+        now = self.loop.now
+        wait = self.waits.mean(now)
+        if now - self.reported_at < SECOND:
+            wait = max(wait, self.reported_wait / self.home.target)
+        if now < self.full_until:
+            wait = max(wait, self.TURN_TO)
+        part = (wait - self.TURN_FROM) / (self.TURN_TO - self.TURN_FROM)
+        if part <= 0:
+            return False
+        return self.loop.chance() < min(self.TURN_MOST, part * self.home.cheapness(call))
+
+
+@dataclass(slots=True)
+class Call:
+    """A call this agent answers for; the only keeper of what may still be sent or said for it."""
+
+    asked: CallArrived
+    arrived: int
+    routes: deque[Exchange] = field(default_factory=deque)
+    out: Exchange | None = None   # the exchange that the one route try is out to
+    out_since: int = 0
+    tries: int = 0
+    release_at: int = 0           # rule 5: no send before this
+    may_have_run: bool = False    # rule 2 for bearer types that are not safe to repeat
+    tandems_offered: int = 0
+    destination: Exchange | None = None
+
+    @property
+    def width(self) -> int:
+        return self.asked.width
+
+
+@dataclass(slots=True)
+class NumberGap:
+    """A called number whose lines were found busy."""
+
+    until: int
+    length: int
+
+
+class Home(Actor):
+    """The own exchange's side: calls, routes, the design's records; the one place that sends and answers."""
+
+    GAP_FIRST, GAP_MOST = SECOND, 8 * SECOND  # a line comes free within about a holding time
+
+    def __init__(self, loop: Loop) -> None:
+        super().__init__(loop)
+        get = loop.settings.get
+        self.exchanges: dict[str, Exchange] = {}
+        self.calls: dict[int, Call] = {}
+        self.records: dict[tuple[int, str], RouteRecord] = {}
+        self.gaps: dict[str, NumberGap] = {}
+        self.own_number: int = get("own_number", -1)
+        self.pools: bool = get("topology", "mesh") == "pools"
+        types: tuple[str, ...] = get("bearer_types", ())
+        self.target = min((loop.bearer("gos_target", one, SECOND) for one in types), default=SECOND)
+        self.revenue = {one: float(get(f"revenue:{one}", 1.0)) for one in types}
+        self.mean_revenue = sum(self.revenue.values()) / max(1, len(types))
+        holds = [loop.bearer("holding", one, SECOND) for one in types]
+        self.holding = max(holds, default=SECOND)
+        self.followed = False
+
+    def receive(self, note: Note) -> None:
+        match note:
+            case CallArrived():
+                self.arrive(note)
+            case Taken():
+                self.taken(note)
+            case Declined():
+                self.declined(note)
+            case Stood():
+                self.stood(note)
+            case TryEnded():
+                self.try_ended(note)
+            case Reported():
+                self.loop.put(self.exchange(note.exchange), Figures(note.load))
+            case Listed():
+                self.listed(note)
+            case TimerDue(token):
+                self.timer(token)
+            case CallerLeft(call):
+                self.calls.pop(call, None)
+            case _:
+                raise TypeError(f"home got {note!r}")
+
+    # What is known of the network.
+
+    def exchange(self, name: str) -> Exchange:
+        if name not in self.exchanges:
+            self.exchanges[name] = Exchange(self.loop, self, name)
+        return self.exchanges[name]
+
+    def listed(self, note: Listed) -> None:
+        if note.form in ("full", "cached"):
+            present = {entry.exchange for entry in note.entries}
+            for one in self.exchanges.values():
+                if one.name not in present:
+                    self.loop.put(one, Told(Entry(one.name, one.number, "gone"), True))
+        for entry in note.entries:
+            self.loop.put(self.exchange(entry.exchange), Told(entry, note.form != "cached"))
+        if self.loop.settings.get("discovery", "push") != "ask":
+            return
+        if note.form == "failed" or not self.followed:
+            # Asking again by chance, so that agents that failed together do not ask together.
+            self.followed = True
+            wait = int(self.loop.chance() * SECOND) if note.form == "failed" else 0
+            self.loop.actions.append(SetTimer(self.loop.now + wait, "follow"))
+
+    def timer(self, token: str) -> None:
+        if token == "follow":
+            self.loop.actions.append(FollowList())
+        elif token.isdigit() and (call := self.calls.get(int(token))) is not None and call.out is None:
+            self.next_route(call)
+
+    def at_number(self, number: int) -> Exchange | None:
+        """A replacement has the number of the exchange it replaces; the ready one stands for the number."""
+        found = None
+        for one in self.exchanges.values():
+            if one.number == number and one.state != "gone" and (found is None or one.state == "ready"):
+                found = one
+        return found
+
+    def carried_per_second(self) -> float:
+        circuits = sum(max(0, one.size) for one in self.exchanges.values())
+        return circuits * SECOND / self.holding
+
+    def cheapness(self, call: Call) -> float:
+        """Above 1 for calls of less than the mean revenue."""
+        return self.mean_revenue / max(self.revenue.get(call.asked.bearer_type, 1.0), 1e-9)
+
+    def record(self, call: Call, route: Exchange) -> RouteRecord:
+        return self.records.setdefault((call.asked.destination, route.name), RouteRecord())
+
+    # The way of a call.
+
+    def arrive(self, asked: CallArrived) -> None:
+        call = Call(asked, self.loop.now)
+        self.calls[asked.call] = call
+        gap = self.gaps.get(asked.number)
+        if gap is not None and not asked.transit and self.loop.now < gap.until:
+            self.block(call, gap.until - self.loop.now)
+            return
+        call.destination = self.at_number(asked.destination)
+        if call.destination is None:
+            self.block(call, SECOND)
+            return
+        own = None if self.pools else self.at_number(self.own_number)
+        if own is not None:
+            self.loop.put(own, Offer(call, "own"))
+        else:
+            self.loop.put(call.destination, Offer(call, "destination"))
+
+    def taken(self, note: Taken) -> None:
+        call = note.call
+        if call.asked.call not in self.calls:
+            return
+        if note.role == "own":
+            assert call.destination is not None
+            self.loop.put(call.destination, Offer(call, "destination"))
+        elif note.role == "destination":
+            self.find_routes(call)
+            self.next_route(call)
+        else:
+            self.send(call, note.exchange)
+
+    def declined(self, note: Declined) -> None:
+        call = note.call
+        if call.asked.call not in self.calls:
+            return
+        if note.role == "tandem":
+            self.next_route(call)
+        elif note.role == "destination" and self.pools:
+            self.find_routes(call)
+            self.next_route(call)
+        else:
+            self.block(call, note.come_back)
+
+    def find_routes(self, call: Call) -> None:
+        """The design's order: direct, then tandems by rising score, ties to the leg with most free."""
+        direct = call.destination
+        if direct is not None and direct.has_room(call.width):
+            call.routes.append(direct)
+        if call.asked.transit:
+            return
+        allowed = self.loop.settings.get(f"pools:{call.asked.bearer_type}", ())
+        ranked = []
+        for one in self.exchanges.values():
+            if one is direct or one.state != "ready" or one.number == self.own_number:
+                continue
+            if self.pools and one.number not in allowed:
+                continue
+            if not one.has_room(call.width + LEG_MARGIN):
+                continue
+            ranked.append((self.record(call, one).score(self.loop.now), -one.free, one.number, one))
+        ranked.sort(key=lambda row: row[:3])
+        call.routes.extend(row[3] for row in ranked)
+
+    def next_route(self, call: Call) -> None:
+        """Offers the call to its next route, or gives it up at once when there is none."""
+        now = self.loop.now
+        if now < call.release_at:
+            self.loop.actions.append(SetTimer(call.release_at, str(call.asked.call)))
+            return
+        while call.routes and call.tries < self.loop.settings.get("route_try_limit", 1):
+            route = call.routes.popleft()
+            if route is call.destination:
+                if route.has_room(call.width):
+                    self.send(call, route)
+                    return
+            elif call.tandems_offered < MOST_TANDEMS and route.has_room(call.width + LEG_MARGIN):
+                self.loop.put(route, Offer(call, "tandem"))
+                return
+        self.block(call, SECOND // 2)
+
+    def send(self, call: Call, route: Exchange) -> None:
+        """The only place that sends: one try out, none inside the release time, none to a leaving exchange."""
+        now = self.loop.now
+        patience = call.asked.abandon_at - now - 2 * self.loop.settings.get("step", 0)
+        if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
+            self.block(call, 0)
+            return
+        call.out = route
+        call.out_since = now
+        call.tries += 1
+        if route is not call.destination:
+            call.tandems_offered += 1
+        self.loop.put(route, Sent())
+        self.loop.actions.append(SetUp(call.asked.call, route.name, patience))
+
+    def block(self, call: Call, come_back: int) -> None:
+        """The only place that answers. A try that may have run must not be called blocked (rule 2)."""
+        if self.calls.pop(call.asked.call, None) is None:
+            return
+        if call.may_have_run and self.effect(call) != "safe":
+            self.loop.actions.append(Abort(call.asked.call))
+            return
+        get = self.loop.settings.get
+        most = get("come_back_limit", 0) if get("come_back", False) and not call.asked.transit else 0
+        self.loop.actions.append(Block(call.asked.call, min(come_back, most)))
+
+    def effect(self, call: Call) -> str:
+        effect: str = self.loop.settings.get(f"effect:{call.asked.bearer_type}", "safe")
+        return effect
+
+    # What became of a route try.
+
+    def stood(self, note: Stood) -> None:
+        route = self.exchange(note.exchange)
+        call = self.calls.get(note.call)
+        self.loop.put(route, Heard(note.delay))
+        if call is not None:
+            if call.destination is not None and route is not call.destination:
+                self.loop.put(call.destination, Heard())
+            self.record(call, route).note(self.loop.now, True, note.delay)
+            self.gaps.pop(call.asked.number, None)
+            call.routes.clear()
+            del self.calls[note.call]
+
+    def try_ended(self, note: TryEnded) -> None:
+        now = self.loop.now
+        route = self.exchange(note.exchange)
+        self.loop.put(route, Figures(note.load))
+        call = self.calls.get(note.call)
+        if call is None:
+            return
+        call.out = None
+        if note.result in ("full", "error"):
+            self.loop.put(route, Heard())
+        if note.result not in ("moot", "cancelled") and note.cause != "lines_busy":
+            self.record(call, route).note(now, False, note.delay)
+        if note.cause == "lines_busy":
+            self.widen_gap(call.asked.number)
+        if note.cause == "processor_full":
+            self.loop.put(route, Heard(max(note.wait, 2 * self.target)))
+        if note.done:
+            del self.calls[note.call]
+            return
+        if note.result in ("timeout", "reset", "cancelled"):
+            call.release_at = now + self.loop.settings.get("release_time", 0)
+        if note.result in ("timeout", "reset", "cancelled", "error"):
+            call.may_have_run = True
+            if self.effect(call) != "safe":
+                call.routes.clear()
+        if note.cause in ("beyond_full", "processor_full", "lines_busy"):
+            call.routes.clear()
+        if note.result in ("timeout", "reset", "cancelled"):
+            call.routes.clear()
+        if call.routes and call.release_at > now and call.release_at >= call.asked.abandon_at:
+            call.routes.clear()
+        if not call.routes:
+            self.block(call, SECOND // 2)
+        else:
+            self.next_route(call)
+
+    def widen_gap(self, number: str) -> None:
+        """Guards against a hot number: its callers' repeats cost every processor on the way and stand for none."""
+        if not number:
+            return
+        now = self.loop.now
+        gap = self.gaps.get(number)
+        length = self.GAP_FIRST if gap is None else min(2 * gap.length, self.GAP_MOST)
+        self.gaps[number] = NumberGap(now + length, length)
+
+
+class Controller:
+    """One call agent's decisions."""
+
+    def __init__(self, seed: int, settings: Settings) -> None:
+        self._loop = Loop(seed, settings)
+        self._home = Home(self._loop)
+
+    def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
+        loop = self._loop
+        loop.now = now
+        for event in events:
+            loop.put(self._home, event)
+            loop.run()
+        actions, loop.actions = loop.actions, []
+        return actions
--- /dev/null
+++ b/peattrestle/wirehost/__main__.py
@@ -0,0 +1,5 @@
+"""python -m peattrestle.wirehost"""
+
+from peattrestle.wirehost.host import main
+
+raise SystemExit(main())
