--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -281,9 +281,6 @@
         cold_time = get("cold_time", 0)
         if entry.started_at:
             self.cold_until = max(self.cold_until, entry.started_at + cold_time)
-        if not sure:
-            # A restarted agent has an old list: any exchange may have restarted since, so all may be cold.
-            self.cold_until = max(self.cold_until, self.loop.now + cold_time)
 
     def figures(self, load: Load) -> None:
         self.free = int(load.get("free", self.free))
@@ -479,8 +476,8 @@
             self.block(call, gap.until - self.loop.now)
             return
         call.destination = self.at_number(asked.destination)
-        if call.destination is None:
-            self.block(call, SECOND)
+        if call.destination is None or asked.destination == self.own_number:
+            self.block(call, SECOND)  # nowhere to go, or nothing to route: a set-up to itself is a fault
             return
         own = None if self.pools else self.at_number(self.own_number)
         if own is not None:
