A window of unanswered set-ups per exchange replaces silence and delay guards

Set-ups out and unanswered need no samples. Also covers hang, crash and cut; harms when a far exchange is merely distant and answers late for good.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -8,9 +8,8 @@
 tandems by rising score with a leg margin. Beside it stand these mechanisms, six at most:
 
 1. cold budget: an exchange that has just started gets no more than this agent's share of what fells it;
-2. silence guard: an exchange that answers nothing gets only trial calls until it answers;
-3. turning away: calls through a pressed processor are turned away by chance, cheaper ones more often;
-4. called-number gap: calls to a number whose lines are all busy are turned away for a while.
+2. window: set-ups out to an exchange that answers late, full or not at all are kept few, by chance;
+3. called-number gap: calls to a number whose lines are all busy are turned away for a while.
 
 Each exchange is an actor with an inbox, the own one too; `Home` keeps the calls. To set a call up, Home
 offers it by notes to the own exchange, to the destination and to a tandem in turn; each takes or declines.
@@ -74,18 +73,18 @@
 
 
 @dataclass(slots=True)
-class Heard:
-    """An answer came from this exchange; `waited` is how long it took, where that tells of its processor."""
+class Settled:
+    """A set-up there has ended or stands; `waited` is below zero where it tells nothing of the processor."""
 
     waited: int = -1
+    pressed: bool = False
 
 
 @dataclass(slots=True)
 class Told:
-    """The list's line for this exchange; `sure` is false for a list that may be old."""
+    """The list's line for this exchange."""
 
     entry: Entry
-    sure: bool
 
 
 @dataclass(slots=True)
@@ -95,7 +94,7 @@
     load: Load
 
 
-Note = Offer | Taken | Declined | Sent | Heard | Told | Figures | Event
+Note = Offer | Taken | Declined | Sent | Settled | Told | Figures | Event
 
 
 class Actor:
@@ -185,50 +184,13 @@
         return score
 
 
-class WaitHistogram:
-    """Set-up delays in shares of the GoS target; halved so that old ones fade."""
-
-    EDGES = (0.25, 0.5, 0.75, 1.0, 1.5, 2.0)
-    MIDDLES = (0.15, 0.375, 0.625, 0.875, 1.25, 1.75, 2.25)
-    HALVE_EVERY = SECOND
-    FEWEST = 2.0  # below this weight a mean says nothing
-
-    __slots__ = ("bins", "halve_at")
-
-    def __init__(self) -> None:
-        self.bins = [0.0] * len(self.MIDDLES)
-        self.halve_at = 0
-
-    def note(self, now: int, share: float) -> None:
-        self.fade(now)
-        place = 0
-        while place < len(self.EDGES) and share > self.EDGES[place]:
-            place += 1
-        self.bins[place] += 1
-
-    def fade(self, now: int) -> None:
-        if now >= self.halve_at + 8 * self.HALVE_EVERY:
-            self.bins = [0.0] * len(self.MIDDLES)
-            self.halve_at = now + self.HALVE_EVERY
-        while now >= self.halve_at:
-            self.bins = [one / 2 for one in self.bins]
-            self.halve_at += self.HALVE_EVERY
-
-    def mean(self, now: int) -> float:
-        self.fade(now)
-        weight = sum(self.bins)
-        if weight < self.FEWEST:
-            return 0.0
-        return sum(one * middle for one, middle in zip(self.bins, self.MIDDLES, strict=True)) / weight
-
-
 class Exchange(Actor):
     """What is known of one exchange, and whether a call may be sent through it now."""
 
-    UNHEARD = 3           # set-ups unanswered before silence is believed: one or two can be lost singly
-    TRIAL_EVERY = SECOND  # one trial call a second finds out soon enough that it is back
-    TURN_FROM, TURN_TO = 0.5, 1.5  # waits, in GoS targets, at which turning away starts and is complete
-    TURN_MOST = 0.9       # some calls always go, or nothing would tell that the pressure has gone
+    WINDOW_START, WINDOW_MOST = 4.0, 8.0
+    WINDOW_LEAST = 0.5    # some calls always go, or nothing would tell that the pressure has gone
+    LATE_CUT, FULL_CUT = 0.7, 0.5
+    CUT_EVERY = SECOND // 2  # what was sent before a cut says nothing about the cut
     SHARE_USED = 0.8      # of the share of the cold budget: room for work that is not seen here
 
     def __init__(self, loop: Loop, home: Home, name: str) -> None:
@@ -241,13 +203,9 @@
         self.free = 0
         self.size = -1
         self.sent: deque[int] = deque()
-        self.unheard = 0
-        self.unheard_since = 0
-        self.trial_at = 0
-        self.waits = WaitHistogram()
-        self.reported_wait = 0.0
-        self.reported_at = 0
-        self.full_until = 0
+        self.out = 0
+        self.window = self.WINDOW_START
+        self.cut_at = 0
 
     def receive(self, note: Note) -> None:
         match note:
@@ -258,55 +216,45 @@
                 else:
                     self.loop.put(self.home, Declined(note.call, self, note.role, come_back))
             case Sent():
-                if self.unheard == 0:
-                    self.unheard_since = self.loop.now
-                self.unheard += 1
-            case Heard(waited):
-                if self.unheard >= self.UNHEARD and self.silent():
-                    self.loop.actions.append(Log(f"exchange {self.number} answers again"))
-                self.unheard = 0
-                if waited >= 0:
-                    self.waits.note(self.loop.now, waited / self.home.target)
-            case Told(entry, sure):
-                self.told(entry, sure)
+                self.out += 1
+            case Settled():
+                self.out = max(0, self.out - 1)
+                self.judge(note)
+            case Told(entry):
+                self.told(entry)
             case Figures(load):
-                self.figures(load)
+                self.free = int(load.get("free", self.free))
+                self.size = int(load.get("size", self.size))
             case _:
                 raise TypeError(f"exchange got {note!r}")
 
-    def told(self, entry: Entry, sure: bool) -> None:
+    def told(self, entry: Entry) -> None:
         self.number = entry.number
         self.state = entry.state
-        get = self.loop.settings.get
-        cold_time = get("cold_time", 0)
         if entry.started_at:
-            self.cold_until = max(self.cold_until, entry.started_at + cold_time)
-
-    def figures(self, load: Load) -> None:
-        self.free = int(load.get("free", self.free))
-        self.size = int(load.get("size", self.size))
-        if "wait_ms" in load:
-            self.reported_wait = load["wait_ms"] * MS
-            self.reported_at = self.loop.now
-        elif "queue" in load and load.get("rate", 0) > 0:
-            self.reported_wait = load["queue"] / load["rate"] * SECOND
-            self.reported_at = self.loop.now
+            self.cold_until = max(self.cold_until, entry.started_at + self.loop.settings.get("cold_time", 0))
+
+    def judge(self, note: Settled) -> None:
+        """The window grows by one for each windowful in time; it shrinks by a share, once for each queue."""
+        now = self.loop.now
+        if note.pressed or note.waited > self.home.late:
+            if now >= self.cut_at:
+                self.window *= self.FULL_CUT if note.pressed else self.LATE_CUT
+                self.window = max(self.WINDOW_LEAST, self.window)
+                self.cut_at = now + self.CUT_EVERY
+        elif note.waited >= 0:
+            self.window = min(self.WINDOW_MOST, self.window + 1 / max(1.0, self.window))
 
     def reason(self, offer: Offer) -> int:
         """Below zero: let the call through; else declined, and how long that may last."""
         now = self.loop.now
         if self.state != "ready":
             return SECOND
-        if offer.role != "own" and self.silent() and now < self.trial_at:
-            return SECOND
-        if now < self.cold_until and not self.cold_room(offer.call.width):
-            return self.loop.settings.get("fall_time", 0) // 2
-        if offer.role != "own":
-            if self.pressed(offer.call):
-                return SECOND
-            if self.silent():
-                self.trial_at = now + self.TRIAL_EVERY
+        if offer.role != "own" and self.pressed(offer.call):
+            return 2 * SECOND
         if now < self.cold_until:
+            if not self.cold_room():
+                return self.loop.settings.get("fall_time", 0)
             self.sent.append(now)
         return -1
 
@@ -314,11 +262,7 @@
         """A group nothing is known of yet is tried: the wire turns a set-up without circuits back unsent."""
         return self.state == "ready" and (self.size < 0 or self.free >= circuits)
 
-    def silent(self) -> bool:
-        """Guards against crash, hang and cut alike: sends go in and nothing at all comes back."""
-        return self.unheard >= self.UNHEARD and self.loop.now - self.unheard_since > self.home.target
-
-    def cold_room(self, width: int) -> bool:
+    def cold_room(self) -> bool:
         """Guards rule 4: all agents may take the same step at once, so each keeps to its part of the budget.
 
         What like exchanges carry is read off the own groups: their circuits over the mean holding time.
@@ -332,17 +276,13 @@
         return len(self.sent) + 1 <= max(1.0, self.SHARE_USED * budget / max(1, get("agents", 1)))
 
     def pressed(self, call: Call) -> bool:
-        """Guards against any slow processor on the way: a call that would stand late is work for nothing."""
-        now = self.loop.now
-        wait = self.waits.mean(now)
-        if now - self.reported_at < SECOND:
-            wait = max(wait, self.reported_wait / self.home.target)
-        if now < self.full_until:
-            wait = max(wait, self.TURN_TO)
-        part = (wait - self.TURN_FROM) / (self.TURN_TO - self.TURN_FROM)
-        if part <= 0:
-            return False
-        return self.loop.chance() < min(self.TURN_MOST, part * self.home.cheapness(call))
+        """Guards against a processor that is slow, swamped, silent or cut off, whatever the cause.
+
+        Set-ups not yet answered are all that every agent can see of each; those of all agents together are
+        the queue there. Cheaper calls get a smaller part of the window, so they are turned away more often.
+        """
+        over = self.out + 1 - self.window * self.home.worthiness(call)
+        return over > 0 and self.loop.chance() < over
 
 
 @dataclass(slots=True)
@@ -390,7 +330,9 @@
         types: tuple[str, ...] = get("bearer_types", ())
         self.target = min((loop.bearer("gos_target", one, SECOND) for one in types), default=SECOND)
         self.revenue = {one: float(get(f"revenue:{one}", 1.0)) for one in types}
-        self.mean_revenue = sum(self.revenue.values()) / max(1, len(types))
+        self.mean_revenue = sum(self.revenue.values()) / max(1, len(types)) or 1.0
+        repeat_gap = get("repeat_gap", 0)
+        self.late = min(self.target // 2, repeat_gap or self.target)  # a repeat is work that sets up nothing
         holds = [loop.bearer("holding", one, SECOND) for one in types]
         self.holding = max(holds, default=SECOND)
         self.followed = False
@@ -430,9 +372,9 @@
             present = {entry.exchange for entry in note.entries}
             for one in self.exchanges.values():
                 if one.name not in present:
-                    self.loop.put(one, Told(Entry(one.name, one.number, "gone"), True))
+                    self.loop.put(one, Told(Entry(one.name, one.number, "gone")))
         for entry in note.entries:
-            self.loop.put(self.exchange(entry.exchange), Told(entry, note.form != "cached"))
+            self.loop.put(self.exchange(entry.exchange), Told(entry))
         if self.loop.settings.get("discovery", "push") != "ask":
             return
         if note.form == "failed" or not self.followed:
@@ -459,9 +401,9 @@
         circuits = sum(max(0, one.size) for one in self.exchanges.values())
         return circuits * SECOND / self.holding
 
-    def cheapness(self, call: Call) -> float:
-        """Above 1 for calls of less than the mean revenue."""
-        return self.mean_revenue / max(self.revenue.get(call.asked.bearer_type, 1.0), 1e-9)
+    def worthiness(self, call: Call) -> float:
+        """Above 1 for calls of more than the mean revenue."""
+        return self.revenue.get(call.asked.bearer_type, 1.0) / self.mean_revenue
 
     def record(self, call: Call, route: Exchange) -> RouteRecord:
         return self.records.setdefault((call.asked.destination, route.name), RouteRecord())
@@ -582,10 +524,8 @@
     def stood(self, note: Stood) -> None:
         route = self.exchange(note.exchange)
         call = self.calls.get(note.call)
-        self.loop.put(route, Heard(note.delay))
         if call is not None:
-            if call.destination is not None and route is not call.destination:
-                self.loop.put(call.destination, Heard())
+            self.loop.put(route, Settled(note.delay))
             self.record(call, route).note(self.loop.now, True, note.delay)
             self.gaps.pop(call.asked.number, None)
             call.routes.clear()
@@ -599,14 +539,14 @@
         if call is None:
             return
         call.out = None
-        if note.result in ("full", "error"):
-            self.loop.put(route, Heard())
+        pressed = note.cause == "processor_full" or note.result in ("timeout", "connect_failed")
+        self.loop.put(route, Settled(pressed=pressed and note.result != "moot"))
+        if note.cause == "beyond_full" and call.destination is not None:
+            self.loop.put(call.destination, Settled(pressed=True))
         if note.result not in ("moot", "cancelled") and note.cause != "lines_busy":
             self.record(call, route).note(now, False, note.delay)
         if note.cause == "lines_busy":
             self.widen_gap(call.asked.number)
-        if note.cause == "processor_full":
-            self.loop.put(route, Heard(max(note.wait, 2 * self.target)))
         if note.done:
             del self.calls[note.call]
             return
