Tandems with a critical score are left out until their slots rotate out

Under 5 set-ups a tandem scores 0 again, so it is retried by itself. Also: a caller that leaves now frees its place in the window.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -355,8 +355,10 @@
                 self.listed(note)
             case TimerDue(token):
                 self.timer(token)
-            case CallerLeft(call):
-                self.calls.pop(call, None)
+            case CallerLeft():
+                gone = self.calls.pop(note.call, None)
+                if gone is not None and gone.out is not None:
+                    self.loop.put(gone.out, Settled())
             case _:
                 raise TypeError(f"home got {note!r}")
 
@@ -468,7 +470,9 @@
                 continue
             if not one.has_room(call.width + LEG_MARGIN):
                 continue
-            ranked.append((self.record(call, one).score(self.loop.now), -one.free, one.number, one))
+            score = self.record(call, one).score(self.loop.now)
+            if score < CRITICAL:
+                ranked.append((score, -one.free, one.number, one))
         ranked.sort(key=lambda row: row[:3])
         call.routes.extend(row[3] for row in ranked)
 
