--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -188,7 +188,8 @@
     """What is known of one exchange, and whether a call may be sent through it now."""
 
     WINDOW_START, WINDOW_MOST = 4.0, 8.0
-    WINDOW_LEAST = 0.5    # some calls always go, or nothing would tell that the pressure has gone
+    WINDOW_LEAST = 0.05   # below 1 a call goes by this chance though none is out
+    REOPEN = 0.1          # of a window a second: with few calls nothing else would tell that it is over
     LATE_CUT, FULL_CUT = 0.7, 0.5
     CUT_EVERY = SECOND // 2  # what was sent before a cut says nothing about the cut
     SHARE_USED = 0.8      # of the share of the cold budget: room for work that is not seen here
@@ -243,7 +244,7 @@
                 self.window = max(self.WINDOW_LEAST, self.window)
                 self.cut_at = now + self.CUT_EVERY
         elif note.waited >= 0:
-            self.window = min(self.WINDOW_MOST, self.window + 1 / max(1.0, self.window))
+            self.window = min(self.WINDOW_MOST, self.window + min(self.window, 1 / self.window))
 
     def reason(self, offer: Offer) -> int:
         """Below zero: let the call through; else declined, and how long that may last."""
@@ -281,6 +282,9 @@
         Set-ups not yet answered are all that every agent can see of each; those of all agents together are
         the queue there. Cheaper calls get a smaller part of the window, so they are turned away more often.
         """
+        if self.window < 1 and self.loop.now > self.cut_at:
+            self.window = min(1.0, self.window + self.REOPEN * (self.loop.now - self.cut_at) / SECOND)
+            self.cut_at = self.loop.now
         over = self.out + 1 - self.window * self.home.worthiness(call)
         return over > 0 and self.loop.chance() < over
 
