Lost set-ups time out early where answers come soon, and are tried once more

Patience now leaves room for the release time and one more try within the GoS target, where nine answers in ten come within half of it. Harms when an exchange slows between two answers: a set-up that would have stood is sent twice.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -17,9 +17,11 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import inf
 
 from peattrestle.interface import (Abort, Action, Block, CallArrived, CallerLeft, Entry, Event, FollowList,
                                    Listed, Load, Log, Reported, Settings, SetTimer, SetUp, Stood, TimerDue,
@@ -184,6 +186,38 @@
         return score
 
 
+class DelayHistogram:
+    """Set-up delays at one exchange, in shares of the GoS target, halved so that old ones fade."""
+
+    EDGES = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.75, 1.0)
+    HALVE_EVERY = 4 * SECOND
+    FEWEST = 3.0
+
+    __slots__ = ("bins", "halve_at")
+
+    def __init__(self) -> None:
+        self.bins = [0.0] * (len(self.EDGES) + 1)
+        self.halve_at = 0
+
+    def note(self, now: int, share: float) -> None:
+        if now >= self.halve_at:
+            self.bins = [one / 2 for one in self.bins]
+            self.halve_at = now + self.HALVE_EVERY
+        self.bins[bisect_left(self.EDGES, share)] += 1
+
+    def quantile(self, part: float) -> float:
+        """The upper edge of the bin that the part falls in; above the last edge, or unknown: infinite."""
+        total = sum(self.bins)
+        if total < self.FEWEST:
+            return inf
+        below = 0.0
+        for edge, weight in zip(self.EDGES, self.bins, strict=False):
+            below += weight
+            if below >= part * total:
+                return edge
+        return inf
+
+
 class Exchange(Actor):
     """What is known of one exchange, and whether a call may be sent through it now."""
 
@@ -192,6 +226,7 @@
     REOPEN = 0.1          # of a window a second: with few calls nothing else would tell that it is over
     LATE_CUT, FULL_CUT = 0.7, 0.5
     CUT_EVERY = SECOND // 2  # what was sent before a cut says nothing about the cut
+    SOON = 0.9            # share of the answered set-ups that must have come soon, by twice, to give up early
     SHARE_USED = 0.8      # of the share of the cold budget: room for work that is not seen here
 
     def __init__(self, loop: Loop, home: Home, name: str) -> None:
@@ -207,6 +242,7 @@
         self.out = 0
         self.window = self.WINDOW_START
         self.cut_at = 0
+        self.delays = DelayHistogram()
 
     def receive(self, note: Note) -> None:
         match note:
@@ -238,6 +274,8 @@
     def judge(self, note: Settled) -> None:
         """The window grows by one for each windowful in time; it shrinks by a share, once for each queue."""
         now = self.loop.now
+        if note.waited >= 0 and not note.pressed:
+            self.delays.note(now, note.waited / self.home.target)
         if note.pressed or note.waited > self.home.late:
             if now >= self.cut_at:
                 self.window *= self.FULL_CUT if note.pressed else self.LATE_CUT
@@ -259,6 +297,17 @@
             self.sent.append(now)
         return -1
 
+    def patience(self) -> int:
+        """Guards against set-ups that get lost: where nearly all stand soon, the rest are not waited for.
+
+        What is left must hold the release time and a second try within the GoS target; at a slow exchange,
+        where many would still stand, the time-out stays the caller's own.
+        """
+        target = self.home.target
+        most = min(1.0, self.delays.quantile(self.SOON)) * target
+        patience = target - self.loop.settings.get("release_time", 0) - most
+        return int(patience) if 2 * most <= patience else 0
+
     def has_room(self, circuits: int) -> bool:
         """A group nothing is known of yet is tried: the wire turns a set-up without circuits back unsent."""
         return self.state == "ready" and (self.size < 0 or self.free >= circuits)
@@ -297,7 +346,6 @@
     arrived: int
     routes: deque[Exchange] = field(default_factory=deque)
     out: Exchange | None = None   # the exchange that the one route try is out to
-    out_since: int = 0
     tries: int = 0
     release_at: int = 0           # rule 5: no send before this
     may_have_run: bool = False    # rule 2 for bearer types that are not safe to repeat
@@ -393,7 +441,7 @@
         if token == "follow":
             self.loop.actions.append(FollowList())
         elif token.isdigit() and (call := self.calls.get(int(token))) is not None and call.out is None:
-            self.next_route(call)
+            self.offer(call)
 
     def at_number(self, number: int) -> Exchange | None:
         """A replacement has the number of the exchange it replaces; the ready one stands for the number."""
@@ -427,10 +475,14 @@
         if call.destination is None or asked.destination == self.own_number:
             self.block(call, SECOND)  # nowhere to go, or nothing to route: a set-up to itself is a fault
             return
+        self.offer(call)
+
+    def offer(self, call: Call) -> None:
+        """The first question, also when a lost try is made again: may the call be set up at all?"""
         own = None if self.pools else self.at_number(self.own_number)
         if own is not None:
             self.loop.put(own, Offer(call, "own"))
-        else:
+        elif call.destination is not None:
             self.loop.put(call.destination, Offer(call, "destination"))
 
     def taken(self, note: Taken) -> None:
@@ -504,8 +556,10 @@
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
             self.block(call, 0)
             return
+        early = route.patience()
+        if early > 0 and now + early + self.loop.settings.get("release_time", 0) < call.asked.abandon_at:
+            patience = min(patience, early)
         call.out = route
-        call.out_since = now
         call.tries += 1
         if route is not call.destination:
             call.tandems_offered += 1
@@ -548,7 +602,8 @@
             return
         call.out = None
         pressed = note.cause == "processor_full" or note.result in ("timeout", "connect_failed")
-        self.loop.put(route, Settled(pressed=pressed and note.result != "moot"))
+        waited = note.delay if note.result == "timeout" else -1
+        self.loop.put(route, Settled(waited, pressed and note.result != "moot"))
         if note.cause == "beyond_full" and call.destination is not None:
             self.loop.put(call.destination, Settled(pressed=True))
         if note.result not in ("moot", "cancelled") and note.cause != "lines_busy":
@@ -566,10 +621,12 @@
                 call.routes.clear()
         if note.cause in ("beyond_full", "processor_full", "lines_busy"):
             call.routes.clear()
-        if note.result in ("timeout", "reset", "cancelled"):
-            call.routes.clear()
-        if call.routes and call.release_at > now and call.release_at >= call.asked.abandon_at:
+        if note.result in ("timeout", "reset") and self.effect(call) == "safe":
             call.routes.clear()
+            in_time = call.release_at < min(call.arrived + self.target, call.asked.abandon_at)
+            if note.result == "timeout" and in_time and not call.asked.transit:
+                self.loop.actions.append(SetTimer(call.release_at, str(call.asked.call)))
+                return
         if not call.routes:
             self.block(call, SECOND // 2)
         else:
