--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -23,12 +23,9 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from peattrestle.interface import (Abort, Action, Block, CallArrived, CallerLeft, Entry, Event, FollowList,
-                                   Listed, Load, Log, Reported, Settings, SetTimer, SetUp, Stood, TimerDue,
-                                   TryEnded)
+from peattrestle import interface as api
 
-MS = 1_000_000
-SECOND = 1_000 * MS
+SECOND = 1_000_000_000
 
 # The design page's starting values, all marked there as ours and open.
 SLOT = SECOND
@@ -86,17 +83,17 @@
 class Told:
     """The list's line for this exchange."""
 
-    entry: Entry
+    entry: api.Entry
 
 
 @dataclass(slots=True)
 class Figures:
     """Load figures of this exchange, the own group's circuits among them."""
 
-    load: Load
+    load: api.Load
 
 
-Note = Offer | Taken | Declined | Sent | Settled | Told | Figures | Event
+Note = Offer | Taken | Declined | Sent | Settled | Told | Figures | api.Event
 
 
 class Actor:
@@ -113,10 +110,10 @@
 class Loop:
     """Delivers notes in the order they were put; also what all actors share: clock, chance, actions."""
 
-    def __init__(self, seed: int, settings: Settings) -> None:
+    def __init__(self, seed: int, settings: api.Settings) -> None:
         self.settings = settings
         self.now = 0
-        self.actions: list[Action] = []
+        self.actions: list[api.Action] = []
         self._state = seed & 0xFFFFFFFFFFFFFFFF
         self._waiting: deque[Actor] = deque()
 
@@ -265,7 +262,7 @@
             case _:
                 raise TypeError(f"exchange got {note!r}")
 
-    def told(self, entry: Entry) -> None:
+    def told(self, entry: api.Entry) -> None:
         self.number = entry.number
         self.state = entry.state
         if entry.started_at:
@@ -287,13 +284,14 @@
     def reason(self, offer: Offer) -> int:
         """Below zero: let the call through; else declined, and how long that may last."""
         now = self.loop.now
+        fall_time: int = self.loop.settings.get("fall_time", 0)
         if self.state != "ready":
             return SECOND
         if offer.role != "own" and self.pressed(offer.call):
             return 2 * SECOND
         if now < self.cold_until:
             if not self.cold_room():
-                return self.loop.settings.get("fall_time", 0)
+                return fall_time
             self.sent.append(now)
         return -1
 
@@ -306,7 +304,7 @@
         target = self.home.target
         most = min(1.0, self.delays.quantile(self.SOON)) * target
         patience = target - self.loop.settings.get("release_time", 0) - most
-        return int(patience) if 2 * most <= patience else 0
+        return int(patience) if patience >= 2 * most else 0
 
     def has_room(self, circuits: int) -> bool:
         """A group nothing is known of yet is tried: the wire turns a set-up without circuits back unsent."""
@@ -318,12 +316,13 @@
         What like exchanges carry is read off the own groups: their circuits over the mean holding time.
         """
         get = self.loop.settings.get
-        window = get("fall_time", 0)
+        carried = self.home.carried_per_second() * get("fall_time", 0) / SECOND
+        budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried
+        share = max(0.01, self.SHARE_USED * budget / max(1, get("agents", 1)))
+        window = get("fall_time", 0) / min(1.0, share)  # a share under one set-up is one in a longer time
         while self.sent and self.sent[0] <= self.loop.now - window:
             self.sent.popleft()
-        carried = self.home.carried_per_second()
-        budget = get("fall_multiple", 1) * get("cold_from", 1) * carried * window / SECOND
-        return len(self.sent) + 1 <= max(1.0, self.SHARE_USED * budget / max(1, get("agents", 1)))
+        return len(self.sent) + 1 <= max(1.0, share)
 
     def pressed(self, call: Call) -> bool:
         """Guards against a processor that is slow, swamped, silent or cut off, whatever the cause.
@@ -342,7 +341,7 @@
 class Call:
     """A call this agent answers for; the only keeper of what may still be sent or said for it."""
 
-    asked: CallArrived
+    asked: api.CallArrived
     arrived: int
     routes: deque[Exchange] = field(default_factory=deque)
     out: Exchange | None = None   # the exchange that the one route try is out to
@@ -391,23 +390,23 @@
 
     def receive(self, note: Note) -> None:
         match note:
-            case CallArrived():
+            case api.CallArrived():
                 self.arrive(note)
             case Taken():
                 self.taken(note)
             case Declined():
                 self.declined(note)
-            case Stood():
+            case api.Stood():
                 self.stood(note)
-            case TryEnded():
+            case api.TryEnded():
                 self.try_ended(note)
-            case Reported():
+            case api.Reported():
                 self.loop.put(self.exchange(note.exchange), Figures(note.load))
-            case Listed():
+            case api.Listed():
                 self.listed(note)
-            case TimerDue(token):
+            case api.TimerDue(token):
                 self.timer(token)
-            case CallerLeft():
+            case api.CallerLeft():
                 gone = self.calls.pop(note.call, None)
                 if gone is not None and gone.out is not None:
                     self.loop.put(gone.out, Settled())
@@ -421,12 +420,12 @@
             self.exchanges[name] = Exchange(self.loop, self, name)
         return self.exchanges[name]
 
-    def listed(self, note: Listed) -> None:
+    def listed(self, note: api.Listed) -> None:
         if note.form in ("full", "cached"):
             present = {entry.exchange for entry in note.entries}
             for one in self.exchanges.values():
                 if one.name not in present:
-                    self.loop.put(one, Told(Entry(one.name, one.number, "gone")))
+                    self.loop.put(one, Told(api.Entry(one.name, one.number, "gone")))
         for entry in note.entries:
             self.loop.put(self.exchange(entry.exchange), Told(entry))
         if self.loop.settings.get("discovery", "push") != "ask":
@@ -435,11 +434,11 @@
             # Asking again by chance, so that agents that failed together do not ask together.
             self.followed = True
             wait = int(self.loop.chance() * SECOND) if note.form == "failed" else 0
-            self.loop.actions.append(SetTimer(self.loop.now + wait, "follow"))
+            self.loop.actions.append(api.SetTimer(self.loop.now + wait, "follow"))
 
     def timer(self, token: str) -> None:
         if token == "follow":
-            self.loop.actions.append(FollowList())
+            self.loop.actions.append(api.FollowList())
         elif token.isdigit() and (call := self.calls.get(int(token))) is not None and call.out is None:
             self.offer(call)
 
@@ -464,7 +463,7 @@
 
     # The way of a call.
 
-    def arrive(self, asked: CallArrived) -> None:
+    def arrive(self, asked: api.CallArrived) -> None:
         call = Call(asked, self.loop.now)
         self.calls[asked.call] = call
         gap = self.gaps.get(asked.number)
@@ -536,7 +535,7 @@
         """Offers the call to its next route, or gives it up at once when there is none."""
         now = self.loop.now
         if now < call.release_at:
-            self.loop.actions.append(SetTimer(call.release_at, str(call.asked.call)))
+            self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
             return
         while call.routes and call.tries < self.loop.settings.get("route_try_limit", 1):
             route = call.routes.popleft()
@@ -550,7 +549,7 @@
         self.block(call, SECOND // 2)
 
     def send(self, call: Call, route: Exchange) -> None:
-        """The only place that sends: one try out, none inside the release time, none to a leaving exchange."""
+        """The only place that sends: one try out, none in the release time, none to a leaving exchange."""
         now = self.loop.now
         patience = call.asked.abandon_at - now - 2 * self.loop.settings.get("step", 0)
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
@@ -564,18 +563,18 @@
         if route is not call.destination:
             call.tandems_offered += 1
         self.loop.put(route, Sent())
-        self.loop.actions.append(SetUp(call.asked.call, route.name, patience))
+        self.loop.actions.append(api.SetUp(call.asked.call, route.name, patience))
 
     def block(self, call: Call, come_back: int) -> None:
         """The only place that answers. A try that may have run must not be called blocked (rule 2)."""
         if self.calls.pop(call.asked.call, None) is None:
             return
         if call.may_have_run and self.effect(call) != "safe":
-            self.loop.actions.append(Abort(call.asked.call))
+            self.loop.actions.append(api.Abort(call.asked.call))
             return
         get = self.loop.settings.get
         most = get("come_back_limit", 0) if get("come_back", False) and not call.asked.transit else 0
-        self.loop.actions.append(Block(call.asked.call, min(come_back, most)))
+        self.loop.actions.append(api.Block(call.asked.call, min(come_back, most)))
 
     def effect(self, call: Call) -> str:
         effect: str = self.loop.settings.get(f"effect:{call.asked.bearer_type}", "safe")
@@ -583,7 +582,7 @@
 
     # What became of a route try.
 
-    def stood(self, note: Stood) -> None:
+    def stood(self, note: api.Stood) -> None:
         route = self.exchange(note.exchange)
         call = self.calls.get(note.call)
         if call is not None:
@@ -593,7 +592,7 @@
             call.routes.clear()
             del self.calls[note.call]
 
-    def try_ended(self, note: TryEnded) -> None:
+    def try_ended(self, note: api.TryEnded) -> None:
         now = self.loop.now
         route = self.exchange(note.exchange)
         self.loop.put(route, Figures(note.load))
@@ -625,7 +624,7 @@
             call.routes.clear()
             in_time = call.release_at < min(call.arrived + self.target, call.asked.abandon_at)
             if note.result == "timeout" and in_time and not call.asked.transit:
-                self.loop.actions.append(SetTimer(call.release_at, str(call.asked.call)))
+                self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
                 return
         if not call.routes:
             self.block(call, SECOND // 2)
@@ -633,7 +632,7 @@
             self.next_route(call)
 
     def widen_gap(self, number: str) -> None:
-        """Guards against a hot number: its callers' repeats cost every processor on the way and stand for none."""
+        """Guards against a hot number: its callers' repeats cost every processor on the way, for nothing."""
         if not number:
             return
         now = self.loop.now
@@ -645,11 +644,11 @@
 class Controller:
     """One call agent's decisions."""
 
-    def __init__(self, seed: int, settings: Settings) -> None:
+    def __init__(self, seed: int, settings: api.Settings) -> None:
         self._loop = Loop(seed, settings)
         self._home = Home(self._loop)
 
-    def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         loop = self._loop
         loop.now = now
         for event in events:
--- a/peattrestle/wirehost/parse.py
+++ b/peattrestle/wirehost/parse.py
@@ -124,7 +124,8 @@
             line.needed("CalledNode"), line.text("Item"), line.whole("Units", 1), line.whole("Via", -1),
             line.flag("Transit"), line.flag("Reconnect"), line.flag("Repeat"), line.text("Team"))
     if line.kind == "ack_first":
-        return api.Stood(line.needed("Id"), line.text("Exchange"), line.whole("RttUs") * US, line.whole("Leg"))
+        return api.Stood(line.needed("Id"), line.text("Exchange"), line.whole("RttUs") * US,
+                         line.whole("Leg"))
     if line.kind == "verdict":
         code = line.whole("ClearCode")
         cause, wait = words.CAUSES.get(code % 16, ""), 0
