--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -319,10 +319,10 @@
         carried = self.home.carried_per_second() * get("fall_time", 0) / SECOND
         budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried
         share = max(0.01, self.SHARE_USED * budget / max(1, get("agents", 1)))
-        window = get("fall_time", 0) / min(1.0, share)  # a share under one set-up is one in a longer time
+        window: float = get("fall_time", 0) / min(1.0, share)  # a share under one set-up is one in a longer time
         while self.sent and self.sent[0] <= self.loop.now - window:
             self.sent.popleft()
-        return len(self.sent) + 1 <= max(1.0, share)
+        return len(self.sent) < max(1, int(share))
 
     def pressed(self, call: Call) -> bool:
         """Guards against a processor that is slow, swamped, silent or cut off, whatever the cause.
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,207 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from peattrestle import interface as api
+from peattrestle.control import RouteRecord
+from tests.helpers import MS, Agent, answers, sent
+
+
+@pytest.mark.parametrize(("free", "call", "expected"), [
+    ({}, {}, ["x1"]),
+    ({1: 0}, {}, ["x2"]),                             # own group full: the leg with most free circuits
+    ({1: 0, 2: 20}, {}, ["x3"]),
+    ({1: 0, 2: 3, 3: 2}, {}, ["x2"]),                 # leg margin: width and two more
+    ({1: 0, 2: 2, 3: 2}, {}, []),
+    ({1: 1}, {"width": 2}, ["x2"]),
+    ({}, {"transit": True, "via": 2}, ["x1"]),        # in transit: on, or back at once
+    ({1: 0}, {"transit": True, "via": 2}, []),
+    ({}, {"destination": 0}, []),                     # its own number, a fault if sent
+    ({}, {"destination": 9}, []),                     # nobody there
+])
+def test_the_way_of_a_call(free: dict[int, int], call: dict[str, Any], expected: list[str]) -> None:
+    agent = Agent(free)
+    to = call.pop("destination", 1)
+    actions = agent.call(10, 1, to, **call)
+    assert sent(actions) == expected
+    assert answers(actions) == ([] if expected else ["Block"])
+
+
+@pytest.mark.parametrize(("outcomes", "ways", "answer"), [
+    ([("full", "turned_back"), ("full", "turned_back")], ["x3", "x2"], ["Block"]),   # two tandems at most
+    ([("full", "beyond_full")], ["x3"], ["Block"]),      # the destination's processor: no way round it
+    ([("full", "processor_full")], ["x3"], ["Block"]),   # the tandem's or the own: no call for more work
+    ([("error", "lines_busy")], ["x3"], ["Block"]),
+    ([("moot", "no_circuit"), ("moot", "no_circuit")], ["x3", "x2"], ["Block"]),
+])
+def test_a_blocked_call_tries_two_tandems(outcomes: list[tuple[str, str]], ways: list[str],
+                                          answer: list[str]) -> None:
+    agent = Agent({1: 0, 2: 20})
+    seen, actions = [], agent.call(10, 1)
+    for step, (result, cause) in enumerate(outcomes):
+        seen += sent(actions)
+        assert answers(actions) == []
+        actions = agent.ended(20 + step, 1, int(seen[-1][1]), result, cause=cause)
+    assert (seen, answers(actions)) == (ways, answer)
+
+
+@pytest.mark.parametrize(("stood", "lost", "delay", "score"), [
+    (0, 4, 0, 0), (0, 5, 0, 10),                      # fewer than five set-ups score 0
+    (8, 2, 0, 0), (79, 21, 0, 1), (5, 5, 0, 1), (49, 51, 0, 10),
+    (5, 0, 1000, 0), (5, 0, 1001, 1), (5, 0, 3000, 1), (5, 0, 3001, 10), (0, 5, 3001, 20),
+])
+def test_route_score(stood: int, lost: int, delay: int, score: int) -> None:
+    record = RouteRecord()
+    for one in range(stood + lost):
+        record.note(0, one < stood, delay * MS)
+    assert record.score(9_999 * MS) == score
+    assert record.score(10_000 * MS) == 0             # the slot has rotated out
+
+
+def test_a_critical_tandem_is_left_out_until_its_slots_rotate_out() -> None:
+    agent = Agent({1: 0, 2: 2})
+    for call in range(5):
+        assert sent(agent.call(10, call)) == ["x3"]
+        agent.ended(20, call, 3, "full", cause="turned_back")
+    assert answers(agent.call(30, 10)) == ["Block"]
+    assert sent(agent.call(10_030, 11)) == ["x3"]
+
+
+@pytest.mark.parametrize(("call", "result", "effect", "resent"), [
+    ({}, "timeout", "safe", True),
+    ({}, "timeout", "unsafe", False),
+    ({"transit": True}, "timeout", "safe", False),
+    ({"patience": 1310}, "timeout", "safe", False),   # the release time would run past the abandon time
+    ({}, "reset", "safe", False),
+])
+def test_a_lost_set_up_is_tried_again_after_the_release(call: dict[str, Any], result: str, effect: str,
+                                                        resent: bool) -> None:
+    agent = Agent(settings={"effect:line": effect})
+    for one in range(4):
+        agent.call(0, 100 + one, 1)
+        agent.stood(50, 100 + one, 1)
+    actions = agent.call(100, 1, **call)
+    early = 1300 if call.get("patience") else 1050
+    assert [one.patience for one in actions if isinstance(one, api.SetUp)] == [early * MS]
+    actions = agent.ended(1150, 1, 1, result)
+    if not resent:
+        assert answers(actions) == ["Block" if effect == "safe" else "Abort"]
+        return
+    assert actions == [api.SetTimer(1450 * MS, "1")]
+    assert sent(agent.at(1450, api.TimerDue("1"))) == ["x1"]
+    assert agent.at(1451, api.TimerDue("1")) == []    # a timer no longer wanted: never two tries out
+
+
+def test_patience_is_the_callers_own_where_answers_are_slow() -> None:
+    agent = Agent()
+    for one in range(4):
+        agent.call(0, 100 + one, 1)
+        agent.stood(700, 100 + one, 1, 700)
+    actions = agent.call(800, 1)
+    assert [one.patience for one in actions if isinstance(one, api.SetUp)] == [2990 * MS]
+
+
+@pytest.mark.parametrize("role", ["direct", "tandem", "transit"])
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_nothing_goes_to_an_exchange_that_leaves(state: str, role: str) -> None:
+    agent = Agent({1: 0, 2: 2} if role == "tandem" else {})
+    leaving = 3 if role == "tandem" else 1
+    agent.state(5, leaving, state)
+    assert answers(agent.call(10, 1, transit=role == "transit")) == ["Block"]
+    agent.state(20, leaving, "ready")
+    assert len(sent(agent.call(30, 2, transit=role == "transit"))) == 1
+
+
+def test_an_exchange_missing_from_a_full_list_is_gone_and_a_new_one_takes_its_number() -> None:
+    agent = Agent()
+    entries = [api.Entry(f"x{n}", n, "ready") for n in (0, 2, 3)]
+    agent.at(5, api.Listed("full", tuple(entries)))
+    assert answers(agent.call(10, 1)) == ["Block"]
+    agent.at(20, api.Listed("delta", (api.Entry("y1", 1, "ready"),)))
+    assert sent(agent.call(30, 2)) == ["y1"]
+
+
+@pytest.mark.parametrize(("cold", "role", "expected"), [
+    (1, "direct", 1), (0, "direct", 1), (1, "transit", 1), (3, "tandem", 1), (2, "direct", 4),
+])
+def test_a_cold_exchange_gets_this_agents_share(cold: int, role: str, expected: int) -> None:
+    """90 circuits held 10 s: 9 set-ups a second, times 2 x 0.3 x 0.8 over 4 agents: one in 0.93 s."""
+    agent = Agent({1: 0, 2: 2} if role == "tandem" else {})
+    agent.state(100, cold, "ready", started=100)
+
+    def try_four(ms: float, first: int) -> int:
+        actions = [agent.call(ms + one, first + one, transit=role == "transit") for one in range(4)]
+        for one in range(4):
+            agent.stood(ms + 10, first + one, 3 if role == "tandem" else 1)
+        return sum(len(sent(one)) for one in actions)
+
+    assert try_four(200, 10) == expected
+    assert try_four(600, 20) == (4 if expected == 4 else 0)
+    assert try_four(1203, 30) == expected
+    assert try_four(14_101, 40) == 4                  # warm
+
+
+@pytest.mark.parametrize(("result", "cause"), [("timeout", ""), ("full", "processor_full"),
+                                               ("connect_failed", "")])
+def test_an_exchange_that_answers_full_or_not_at_all_gets_few_calls(result: str, cause: str) -> None:
+    agent = Agent()
+    for call in range(20):
+        at = call * 600
+        if sent(agent.call(at, call)):
+            agent.ended(at + 400, call, 1, result, cause=cause)
+    trials = [one for one in range(50, 70) if sent(agent.call(12_000, one))]
+    assert len(trials) <= 4
+    for one in trials:
+        agent.ended(13_000, one, 1, result, cause=cause)
+    assert sent(agent.call(40_000, 99)) == ["x1"]     # and reopens by itself
+
+
+def test_set_ups_out_are_limited_and_cheaper_calls_more() -> None:
+    rich: dict[str, Any] = {"bearer_types": ("line", "reel"), "gos_target:reel": 1500 * MS, "revenue:reel": 2.0}
+    sums = {}
+    for kind in ("line", "reel"):
+        agent = Agent(settings=rich)
+        sums[kind] = sum(len(sent(agent.call(10, one, bearer_type=kind))) for one in range(20))
+    assert 2 <= sums["line"] < sums["reel"] <= 6
+
+
+def test_calls_to_a_number_whose_lines_are_busy_wait() -> None:
+    agent = Agent()
+    agent.call(0, 1, number="hot")
+    agent.ended(50, 1, 1, "error", cause="lines_busy")
+    actions = agent.call(100, 2, number="hot")
+    assert actions == [api.Block(2, 950 * MS)]
+    assert sent(agent.call(100, 3, number="other")) == ["x1"]
+    assert sent(agent.call(1050, 4, number="hot")) == ["x1"]
+
+
+def test_events_that_cross_or_repeat_do_nothing() -> None:
+    agent = Agent()
+    agent.call(0, 1)
+    agent.at(10, api.CallerLeft(1))
+    assert agent.at(20, api.CallerLeft(1), api.TimerDue("1"), api.TimerDue("x")) == []
+    assert agent.ended(30, 1, 1, "full", cause="processor_full") == []
+    assert agent.stood(40, 1, 1) == []
+    agent.call(50, 2)
+    agent.stood(60, 2, 1)
+    assert agent.ended(9000, 2, 1, "reset", done=True) == []
+
+
+def test_a_list_that_must_be_asked_for_is_followed_and_asked_again() -> None:
+    agent = Agent(settings={"discovery": "ask"})
+    assert agent.at(1, api.TimerDue("follow")) == [api.FollowList()]
+    actions = agent.at(2, api.Listed("failed"))
+    assert [type(one) for one in actions] == [api.SetTimer]
+
+
+def test_pools_of_second_choice_stand_in() -> None:
+    agent = Agent(settings={"topology": "pools", "own_number": -1, "pools:line": (1, 2)})
+    agent.free(1, 0)
+    assert sent(agent.call(10, 1)) == ["x2"]
+
+
+def test_the_same_events_lead_to_the_same_actions() -> None:
+    runs = [[Agent(seed=3).call(10, one) for one in range(30)] for _ in range(2)]
+    assert runs[0] == runs[1]
