--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -224,7 +224,6 @@
     LATE_CUT, FULL_CUT = 0.7, 0.5
     CUT_EVERY = SECOND // 2  # what was sent before a cut says nothing about the cut
     SOON = 0.9            # share of the answered set-ups that must have come soon, by twice, to give up early
-    SHARE_USED = 0.8      # of the share of the cold budget: room for work that is not seen here
 
     def __init__(self, loop: Loop, home: Home, name: str) -> None:
         super().__init__(loop)
@@ -318,7 +317,7 @@
         get = self.loop.settings.get
         carried = self.home.carried_per_second() * get("fall_time", 0) / SECOND
         budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried
-        share = max(0.01, self.SHARE_USED * budget / max(1, get("agents", 1)))
+        share = max(0.01, budget / max(1, get("agents", 1)))
         window: float = get("fall_time", 0) / min(1.0, share)  # a share under one set-up is one in a longer time
         while self.sent and self.sent[0] <= self.loop.now - window:
             self.sent.popleft()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -159,7 +159,8 @@
 
 
 def test_set_ups_out_are_limited_and_cheaper_calls_more() -> None:
-    rich: dict[str, Any] = {"bearer_types": ("line", "reel"), "gos_target:reel": 1500 * MS, "revenue:reel": 2.0}
+    rich: dict[str, Any] = {"bearer_types": ("line", "reel"),
+                            "gos_target:reel": 1500 * MS, "revenue:reel": 2.0}
     sums = {}
     for kind in ("line", "reel"):
         agent = Agent(settings=rich)
