A draining own exchange serves its callers; its agent has half the cold budget

Shares still add up to the budget. Could harm where an exchange's callers send far more than they receive.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -284,12 +284,12 @@
         """Below zero: let the call through; else declined, and how long that may last."""
         now = self.loop.now
         fall_time: int = self.loop.settings.get("fall_time", 0)
-        if self.state != "ready":
-            return SECOND
+        if self.state != "ready" and offer.role != "own":
+            return SECOND  # the own exchange may drain: its callers have no other, and nothing is sent to it
         if offer.role != "own" and self.pressed(offer.call):
             return 2 * SECOND
         if now < self.cold_until:
-            if not self.cold_room():
+            if not self.cold_room(offer.role == "own"):
                 return fall_time
             self.sent.append(now)
         return -1
@@ -309,15 +309,16 @@
         """A group nothing is known of yet is tried: the wire turns a set-up without circuits back unsent."""
         return self.state == "ready" and (self.size < 0 or self.free >= circuits)
 
-    def cold_room(self) -> bool:
+    def cold_room(self, own: bool) -> bool:
         """Guards rule 4: all agents may take the same step at once, so each keeps to its part of the budget.
 
-        What like exchanges carry is read off the own groups: their circuits over the mean holding time.
+        What like exchanges carry is read off the own groups: their circuits over the mean holding time. Every
+        call has two ends, so half of an exchange's set-ups start there: that half is for its own agent.
         """
         get = self.loop.settings.get
         carried = self.home.carried_per_second() * get("fall_time", 0) / SECOND
-        budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried
-        share = max(0.01, budget / max(1, get("agents", 1)))
+        budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried / 2
+        share = max(0.01, budget if own else budget / max(1, get("agents", 1) - 1))
         window: float = get("fall_time", 0) / min(1.0, share)  # a share under one set-up is one in a longer time
         while self.sent and self.sent[0] <= self.loop.now - window:
             self.sent.popleft()
