--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -319,7 +319,7 @@
         carried = self.home.carried_per_second() * get("fall_time", 0) / SECOND
         budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried / 2
         share = max(0.01, budget if own else budget / max(1, get("agents", 1) - 1))
-        window: float = get("fall_time", 0) / min(1.0, share)  # a share under one set-up is one in a longer time
+        window: float = get("fall_time", 0) / min(1.0, share)  # under one: one in longer
         while self.sent and self.sent[0] <= self.loop.now - window:
             self.sent.popleft()
         return len(self.sent) < max(1, int(share))
