--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -37,6 +37,7 @@
 ANSWER_RATIO_WEIGHT = DELAY_WEIGHT = 1
 MOST_TANDEMS = 2
 LEG_MARGIN = 2
+TANDEM_PAUSE = 2 * SECOND
 
 
 @dataclass(slots=True)
@@ -149,10 +150,11 @@
 class RouteRecord:
     """Answer ratio and set-up delay of one destination and route over the design's span."""
 
-    __slots__ = ("slots",)
+    __slots__ = ("slots", "paused_until")
 
     def __init__(self) -> None:
         self.slots: deque[Slot] = deque()
+        self.paused_until = 0
 
     def note(self, now: int, stood: bool, delay: int) -> None:
         index = now // SLOT
@@ -525,8 +527,9 @@
                 continue
             if not one.has_room(call.width + LEG_MARGIN):
                 continue
-            score = self.record(call, one).score(self.loop.now)
-            if score < CRITICAL:
+            record = self.record(call, one)
+            score = record.score(self.loop.now)
+            if score < CRITICAL and self.loop.now >= record.paused_until:
                 ranked.append((score, -one.free, one.number, one))
         ranked.sort(key=lambda row: row[:3])
         call.routes.extend(row[3] for row in ranked)
@@ -607,6 +610,8 @@
             self.loop.put(call.destination, Settled(pressed=True))
         if note.result not in ("moot", "cancelled") and note.cause != "lines_busy":
             self.record(call, route).note(now, False, note.delay)
+        if note.cause in ("turned_back", "beyond_full"):
+            self.record(call, route).paused_until = now + TANDEM_PAUSE
         if note.cause == "lines_busy":
             self.widen_gap(call.asked.number)
         if note.done:
