--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -549,7 +549,7 @@
             elif call.tandems_offered < MOST_TANDEMS and route.has_room(call.width + LEG_MARGIN):
                 self.loop.put(route, Offer(call, "tandem"))
                 return
-        self.block(call, 2 * SECOND)
+        self.block(call, SECOND // 2)
 
     def send(self, call: Call, route: Exchange) -> None:
         """The only place that sends: one try out, none in the release time, none to a leaving exchange."""
@@ -632,7 +632,7 @@
                 self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
                 return
         if not call.routes:
-            self.block(call, 2 * SECOND)
+            self.block(call, SECOND // 2)
         else:
             self.next_route(call)
 
