--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -289,7 +289,7 @@
         if self.state != "ready" and offer.role != "own":
             return SECOND  # the own exchange may drain: its callers have no other, and nothing is sent to it
         if offer.role != "own" and self.pressed(offer.call):
-            return 2 * SECOND
+            return SECOND // 2
         if now < self.cold_until:
             if not self.cold_room(offer.role == "own"):
                 return fall_time
