--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -59,12 +59,11 @@
 
 @dataclass(slots=True)
 class Declined:
-    """The exchange does not; `come_back` tells how long the reason may last."""
+    """The exchange does not."""
 
     call: Call
     exchange: Exchange
     role: str
-    come_back: int
 
 
 @dataclass(slots=True)
@@ -245,11 +244,8 @@
     def receive(self, note: Note) -> None:
         match note:
             case Offer():
-                come_back = self.reason(note)
-                if come_back < 0:
-                    self.loop.put(self.home, Taken(note.call, self, note.role))
-                else:
-                    self.loop.put(self.home, Declined(note.call, self, note.role, come_back))
+                answer = Taken if self.lets(note) else Declined
+                self.loop.put(self.home, answer(note.call, self, note.role))
             case Sent():
                 self.out += 1
             case Settled():
@@ -282,19 +278,15 @@
         elif note.waited >= 0:
             self.window = min(self.WINDOW_MOST, self.window + min(self.window, 1 / self.window))
 
-    def reason(self, offer: Offer) -> int:
-        """Below zero: let the call through; else declined, and how long that may last."""
-        now = self.loop.now
-        fall_time: int = self.loop.settings.get("fall_time", 0)
-        if self.state != "ready" and offer.role != "own":
-            return SECOND  # the own exchange may drain: its callers have no other, and nothing is sent to it
-        if offer.role != "own" and self.pressed(offer.call):
-            return SECOND // 2
-        if now < self.cold_until:
-            if not self.cold_room(offer.role == "own"):
-                return fall_time
-            self.sent.append(now)
-        return -1
+    def lets(self, offer: Offer) -> bool:
+        own = offer.role == "own"  # it may drain or lag: its callers have no other, and nothing is sent to it
+        if not own and (self.state != "ready" or self.pressed(offer.call)):
+            return False
+        if self.loop.now < self.cold_until:
+            if not self.cold_room(own):
+                return False
+            self.sent.append(self.loop.now)
+        return True
 
     def patience(self) -> int:
         """Guards against set-ups that get lost: where nearly all stand soon, the rest are not waited for.
@@ -474,7 +466,7 @@
             return
         call.destination = self.at_number(asked.destination)
         if call.destination is None or asked.destination == self.own_number:
-            self.block(call, SECOND)  # nowhere to go, or nothing to route: a set-up to itself is a fault
+            self.block(call)  # nowhere to go, or nothing to route: a set-up to itself is a fault
             return
         self.offer(call)
 
@@ -509,7 +501,7 @@
             self.find_routes(call)
             self.next_route(call)
         else:
-            self.block(call, note.come_back)
+            self.block(call)
 
     def find_routes(self, call: Call) -> None:
         """The design's order: direct, then tandems by rising score, ties to the leg with most free."""
@@ -549,14 +541,14 @@
             elif call.tandems_offered < MOST_TANDEMS and route.has_room(call.width + LEG_MARGIN):
                 self.loop.put(route, Offer(call, "tandem"))
                 return
-        self.block(call, SECOND // 2)
+        self.block(call)
 
     def send(self, call: Call, route: Exchange) -> None:
         """The only place that sends: one try out, none in the release time, none to a leaving exchange."""
         now = self.loop.now
         patience = call.asked.abandon_at - now - 2 * self.loop.settings.get("step", 0)
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
-            self.block(call, 0)
+            self.block(call)
             return
         early = route.patience()
         if early > 0 and now + early + self.loop.settings.get("release_time", 0) < call.asked.abandon_at:
@@ -568,8 +560,11 @@
         self.loop.put(route, Sent())
         self.loop.actions.append(api.SetUp(call.asked.call, route.name, patience))
 
-    def block(self, call: Call, come_back: int) -> None:
-        """The only place that answers. A try that may have run must not be called blocked (rule 2)."""
+    def block(self, call: Call, come_back: int = 0) -> None:
+        """The only place that answers. A try that may have run must not be called blocked (rule 2).
+
+        A caller who is back within the GoS target may yet stand in time; later he is mostly work for nothing.
+        """
         if self.calls.pop(call.asked.call, None) is None:
             return
         if call.may_have_run and self.effect(call) != "safe":
@@ -577,6 +572,7 @@
             return
         get = self.loop.settings.get
         most = get("come_back_limit", 0) if get("come_back", False) and not call.asked.transit else 0
+        come_back = come_back or self.target // 3
         self.loop.actions.append(api.Block(call.asked.call, min(come_back, most)))
 
     def effect(self, call: Call) -> str:
@@ -632,7 +628,7 @@
                 self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
                 return
         if not call.routes:
-            self.block(call, SECOND // 2)
+            self.block(call)
         else:
             self.next_route(call)
 
