A failed connection closes the window to its least at once

Also covers an exchange cut off; harms when one connection fails by chance: reopening takes up to ten seconds.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -77,6 +77,7 @@
 
     waited: int = -1
     pressed: bool = False
+    down: bool = False
 
 
 @dataclass(slots=True)
@@ -270,7 +271,10 @@
         now = self.loop.now
         if note.waited >= 0 and not note.pressed:
             self.delays.note(now, note.waited / self.home.target)
-        if note.pressed or note.waited > self.home.late:
+        if note.down:
+            # Nothing listens there: no half measures, whatever the list still says.
+            self.window, self.cut_at = self.WINDOW_LEAST, now + self.CUT_EVERY
+        elif note.pressed or note.waited > self.home.late:
             if now >= self.cut_at:
                 self.window *= self.FULL_CUT if note.pressed else self.LATE_CUT
                 self.window = max(self.WINDOW_LEAST, self.window)
@@ -599,9 +603,10 @@
         if call is None:
             return
         call.out = None
-        pressed = note.cause == "processor_full" or note.result in ("timeout", "connect_failed")
+        pressed = note.cause == "processor_full" or note.result == "timeout"
         waited = note.delay if note.result == "timeout" else -1
-        self.loop.put(route, Settled(waited, pressed and note.result != "moot"))
+        down = note.result == "connect_failed"
+        self.loop.put(route, Settled(waited, pressed and note.result != "moot", down))
         if note.cause == "beyond_full" and call.destination is not None:
             self.loop.put(call.destination, Settled(pressed=True))
         if note.result not in ("moot", "cancelled") and note.cause != "lines_busy":
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -165,6 +165,13 @@
     assert sent(agent.call(40_000, 99)) == ["x1"]     # and reopens by itself
 
 
+def test_a_failed_connection_closes_the_window_at_once() -> None:
+    agent = Agent()
+    agent.call(10, 1)
+    agent.ended(20, 1, 1, "connect_failed")
+    assert sum(len(sent(agent.call(30, 10 + one))) for one in range(10)) <= 2
+
+
 def test_set_ups_out_are_limited_and_cheaper_calls_more() -> None:
     rich: dict[str, Any] = {"bearer_types": ("line", "reel"),
                             "gos_target:reel": 1500 * MS, "revenue:reel": 2.0}
