The largest window follows from circuits, holding time, GoS target and agents

Replaces a fixed 8, which all agents of a large network together put far over what an exchange can set up in time. One figure fewer.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -220,7 +220,6 @@
 class Exchange(Actor):
     """What is known of one exchange, and whether a call may be sent through it now."""
 
-    WINDOW_START, WINDOW_MOST = 4.0, 8.0
     WINDOW_LEAST = 0.05   # below 1 a call goes by this chance though none is out
     REOPEN = 0.1          # of a window a second: with few calls nothing else would tell that it is over
     LATE_CUT, FULL_CUT = 0.7, 0.5
@@ -238,7 +237,7 @@
         self.size = -1
         self.sent: deque[int] = deque()
         self.out = 0
-        self.window = self.WINDOW_START
+        self.window = 4.0
         self.cut_at = 0
         self.delays = DelayHistogram()
 
@@ -280,7 +279,7 @@
                 self.window = max(self.WINDOW_LEAST, self.window)
                 self.cut_at = now + self.CUT_EVERY
         elif note.waited >= 0:
-            self.window = min(self.WINDOW_MOST, self.window + min(self.window, 1 / self.window))
+            self.window = min(self.home.window_most(), self.window + min(self.window, 1 / self.window))
 
     def lets(self, offer: Offer) -> bool:
         own = offer.role == "own"  # it may drain or lag: its callers have no other, and nothing is sent to it
@@ -452,6 +451,11 @@
         circuits = sum(max(0, one.size) for one in self.exchanges.values())
         return circuits * SECOND / self.holding
 
+    def window_most(self) -> float:
+        """All agents' windows together: what an exchange like the own one sets up within the GoS target."""
+        agents: int = self.loop.settings.get("agents", 1)
+        return max(1.0, self.carried_per_second() * self.target / SECOND / max(1, agents - 1))
+
     def worthiness(self, call: Call) -> float:
         """Above 1 for calls of more than the mean revenue."""
         return self.revenue.get(call.asked.bearer_type, 1.0) / self.mean_revenue
