A set-up unanswered while later ones were answered in time is not pressure

Told from silence by later set-ups that were answered. Harms when an exchange hangs between two answers: one cut comes later.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -240,6 +240,7 @@
         self.window = 4.0
         self.cut_at = 0
         self.delays = DelayHistogram()
+        self.heard_at = 0
 
     def receive(self, note: Note) -> None:
         match note:
@@ -270,6 +271,8 @@
         now = self.loop.now
         if note.waited >= 0 and not note.pressed:
             self.delays.note(now, note.waited / self.home.target)
+        if note.pressed and now - note.waited < self.heard_at:
+            return  # lost on the way, or the exchange would not have answered later set-ups in time
         if note.down:
             # Nothing listens there: no half measures, whatever the list still says.
             self.window, self.cut_at = self.WINDOW_LEAST, now + self.CUT_EVERY
@@ -279,6 +282,7 @@
                 self.window = max(self.WINDOW_LEAST, self.window)
                 self.cut_at = now + self.CUT_EVERY
         elif note.waited >= 0:
+            self.heard_at = now
             self.window = min(self.home.window_most(), self.window + min(self.window, 1 / self.window))
 
     def lets(self, offer: Offer) -> bool:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -172,6 +172,20 @@
     assert sum(len(sent(agent.call(30, 10 + one))) for one in range(10)) <= 2
 
 
+@pytest.mark.parametrize(("answered", "least", "most"), [(True, 3, 5), (False, 0, 1)])
+def test_lost_set_ups_are_not_taken_for_pressure(answered: bool, least: int, most: int) -> None:
+    """Lost means that set-ups sent later were answered; in silence the same time-outs close the window."""
+    agent = Agent()
+    for step in range(8):
+        at = 1000 * step
+        if sent(agent.call(at, 2 * step)):
+            if sent(agent.call(at + 100, 2 * step + 1)) and answered:
+                agent.stood(at + 200, 2 * step + 1, 1, 100)
+            agent.ended(at + 900, 2 * step, 1, "timeout", delay=900 * MS)
+    trials = sum(len(sent(agent.call(8000, 100 + one))) for one in range(10))
+    assert least <= trials <= most
+
+
 def test_set_ups_out_are_limited_and_cheaper_calls_more() -> None:
     rich: dict[str, Any] = {"bearer_types": ("line", "reel"),
                             "gos_target:reel": 1500 * MS, "revenue:reel": 2.0}
