--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -532,9 +532,8 @@
             if not one.has_room(call.width + LEG_MARGIN):
                 continue
             record = self.record(call, one)
-            score = record.score(self.loop.now)
-            if score < CRITICAL and self.loop.now >= record.paused_until:
-                ranked.append((score, -one.free, one.number, one))
+            if self.loop.now >= record.paused_until:
+                ranked.append((record.score(self.loop.now), -one.free, one.number, one))
         ranked.sort(key=lambda row: row[:3])
         call.routes.extend(row[3] for row in ranked)
 
