Early time-outs only while set-ups were seen lost lately; module tidied

It now needs two losses told by other answers, counted over all exchanges and halved every 4 s. Tidying: notes merged, one place refuses, busy gaps are forgotten in time, a log line when a window closes or opens. A full processor beyond the tandem no longer takes a place out of the destination's count that was never put there.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -9,7 +9,9 @@
 
 1. cold budget: an exchange that has just started gets no more than this agent's share of what fells it;
 2. window: set-ups out to an exchange that answers late, full or not at all are kept few, by chance;
-3. called-number gap: calls to a number whose lines are all busy are turned away for a while.
+3. tandem pause: a tandem that turned a call back gets none for that destination for one span;
+4. early time-out: while set-ups get lost, an unanswered one is given up in time for one more try;
+5. called-number gap: calls to a number whose lines are all busy are turned away for a while.
 
 Each exchange is an actor with an inbox, the own one too; `Home` keeps the calls. To set a call up, Home
 offers it by notes to the own exchange, to the destination and to a tandem in turn; each takes or declines.
@@ -37,7 +39,9 @@
 ANSWER_RATIO_WEIGHT = DELAY_WEIGHT = 1
 MOST_TANDEMS = 2
 LEG_MARGIN = 2
-TANDEM_PAUSE = SPAN_SLOTS * SLOT
+
+HALVE_EVERY = 4 * SECOND  # what is measured beside the design fades by half in this time
+LOST_FEWEST = 2.0         # one lost set-up may be chance
 
 
 @dataclass(slots=True)
@@ -49,21 +53,12 @@
 
 
 @dataclass(slots=True)
-class Taken:
-    """The exchange lets the call through."""
+class Answer:
+    """The exchange lets the call through, or does not."""
 
-    call: Call
+    offer: Offer
     exchange: Exchange
-    role: str
-
-
-@dataclass(slots=True)
-class Declined:
-    """The exchange does not."""
-
-    call: Call
-    exchange: Exchange
-    role: str
+    taken: bool
 
 
 @dataclass(slots=True)
@@ -73,11 +68,19 @@
 
 @dataclass(slots=True)
 class Settled:
-    """A set-up there has ended or stands; `waited` is below zero where it tells nothing of the processor."""
+    """A set-up there stands or has ended; `how` is 'stood', 'pressed', 'down', or '' where it tells nothing.
 
-    waited: int = -1
-    pressed: bool = False
-    down: bool = False
+    It is `elsewhere` where another exchange's set-up told of this one.
+    """
+
+    how: str = ""
+    waited: int = 0
+    elsewhere: bool = False
+
+
+@dataclass(slots=True)
+class Lost:
+    """A set-up got no answer from an exchange that answered later ones."""
 
 
 @dataclass(slots=True)
@@ -94,7 +97,7 @@
     load: api.Load
 
 
-Note = Offer | Taken | Declined | Sent | Settled | Told | Figures | api.Event
+Note = Offer | Answer | Sent | Settled | Lost | Told | Figures | api.Event
 
 
 class Actor:
@@ -132,10 +135,6 @@
         self._state = (self._state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
         return (self._state >> 40) / (1 << 24)
 
-    def bearer(self, name: str, bearer_type: str, default: int) -> int:
-        value: int = self.settings.get(f"{name}:{bearer_type}", default)
-        return value
-
 
 @dataclass(slots=True)
 class Slot:
@@ -189,7 +188,6 @@
     """Set-up delays at one exchange, in shares of the GoS target, halved so that old ones fade."""
 
     EDGES = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.75, 1.0)
-    HALVE_EVERY = 4 * SECOND
     FEWEST = 3.0
 
     __slots__ = ("bins", "halve_at")
@@ -201,7 +199,7 @@
     def note(self, now: int, share: float) -> None:
         if now >= self.halve_at:
             self.bins = [one / 2 for one in self.bins]
-            self.halve_at = now + self.HALVE_EVERY
+            self.halve_at = now + HALVE_EVERY
         self.bins[bisect_left(self.EDGES, share)] += 1
 
     def quantile(self, part: float) -> float:
@@ -220,6 +218,7 @@
 class Exchange(Actor):
     """What is known of one exchange, and whether a call may be sent through it now."""
 
+    WINDOW_START = 4.0    # enough to begin with; a few answers in time widen it
     WINDOW_LEAST = 0.05   # below 1 a call goes by this chance though none is out
     REOPEN = 0.1          # of a window a second: with few calls nothing else would tell that it is over
     LATE_CUT, FULL_CUT = 0.7, 0.5
@@ -237,20 +236,20 @@
         self.size = -1
         self.sent: deque[int] = deque()
         self.out = 0
-        self.window = 4.0
+        self.window = self.WINDOW_START
         self.cut_at = 0
         self.delays = DelayHistogram()
         self.heard_at = 0
+        self.closed = False
 
     def receive(self, note: Note) -> None:
         match note:
             case Offer():
-                answer = Taken if self.lets(note) else Declined
-                self.loop.put(self.home, answer(note.call, self, note.role))
+                self.loop.put(self.home, Answer(note, self, self.lets(note)))
             case Sent():
                 self.out += 1
             case Settled():
-                self.out = max(0, self.out - 1)
+                self.out -= not note.elsewhere
                 self.judge(note)
             case Told(entry):
                 self.told(entry)
@@ -269,21 +268,24 @@
     def judge(self, note: Settled) -> None:
         """The window grows by one for each windowful in time; it shrinks by a share, once for each queue."""
         now = self.loop.now
-        if note.waited >= 0 and not note.pressed:
+        if note.how == "stood":
             self.delays.note(now, note.waited / self.home.target)
-        if note.pressed and now - note.waited < self.heard_at:
-            return  # lost on the way, or the exchange would not have answered later set-ups in time
-        if note.down:
-            # Nothing listens there: no half measures, whatever the list still says.
-            self.window, self.cut_at = self.WINDOW_LEAST, now + self.CUT_EVERY
-        elif note.pressed or note.waited > self.home.late:
-            if now >= self.cut_at:
-                self.window *= self.FULL_CUT if note.pressed else self.LATE_CUT
-                self.window = max(self.WINDOW_LEAST, self.window)
-                self.cut_at = now + self.CUT_EVERY
-        elif note.waited >= 0:
+        if note.how == "stood" and note.waited <= self.home.late:
             self.heard_at = now
             self.window = min(self.home.window_most(), self.window + min(self.window, 1 / self.window))
+        elif note.how == "pressed" and now - note.waited < self.heard_at:
+            self.loop.put(self.home, Lost())  # or the exchange would not have answered later set-ups in time
+        elif note.how == "down":
+            self.window = self.WINDOW_LEAST   # nothing listens there, whatever the list still says
+            self.cut_at = now + self.CUT_EVERY
+        elif note.how and now >= self.cut_at:
+            cut = self.LATE_CUT if note.how == "stood" else self.FULL_CUT
+            self.window = max(self.WINDOW_LEAST, self.window * cut)
+            self.cut_at = now + self.CUT_EVERY
+        if self.closed != (self.window < 1) and not 1 <= self.window < 2:
+            self.closed = not self.closed
+            word = "pressed" if self.closed else "eased"
+            self.loop.actions.append(api.Log(f"exchange {self.number}: {word}"))
 
     def lets(self, offer: Offer) -> bool:
         own = offer.role == "own"  # it may drain or lag: its callers have no other, and nothing is sent to it
@@ -344,25 +346,13 @@
 
     asked: api.CallArrived
     arrived: int
+    destination: Exchange
     routes: deque[Exchange] = field(default_factory=deque)
     out: Exchange | None = None   # the exchange that the one route try is out to
     tries: int = 0
     release_at: int = 0           # rule 5: no send before this
     may_have_run: bool = False    # rule 2 for bearer types that are not safe to repeat
-    tandems_offered: int = 0
-    destination: Exchange | None = None
-
-    @property
-    def width(self) -> int:
-        return self.asked.width
-
-
-@dataclass(slots=True)
-class NumberGap:
-    """A called number whose lines were found busy."""
-
-    until: int
-    length: int
+    tandem_tries: int = 0
 
 
 class Home(Actor):
@@ -376,27 +366,29 @@
         self.exchanges: dict[str, Exchange] = {}
         self.calls: dict[int, Call] = {}
         self.records: dict[tuple[int, str], RouteRecord] = {}
-        self.gaps: dict[str, NumberGap] = {}
+        self.gaps: dict[str, tuple[int, int]] = {}  # number: until, length
         self.own_number: int = get("own_number", -1)
         self.pools: bool = get("topology", "mesh") == "pools"
         types: tuple[str, ...] = get("bearer_types", ())
-        self.target = min((loop.bearer("gos_target", one, SECOND) for one in types), default=SECOND)
+        self.target = min((int(get(f"gos_target:{one}", SECOND)) for one in types), default=SECOND)
         self.revenue = {one: float(get(f"revenue:{one}", 1.0)) for one in types}
         self.mean_revenue = sum(self.revenue.values()) / max(1, len(types)) or 1.0
         repeat_gap = get("repeat_gap", 0)
         self.late = min(self.target // 2, repeat_gap or self.target)  # a repeat is work that sets up nothing
-        holds = [loop.bearer("holding", one, SECOND) for one in types]
-        self.holding = max(holds, default=SECOND)
+        self.holding = max((int(get(f"holding:{one}", SECOND)) for one in types), default=SECOND)
         self.followed = False
+        self.lost = 0.0
+        self.lost_halved_at = 0
 
     def receive(self, note: Note) -> None:
         match note:
             case api.CallArrived():
                 self.arrive(note)
-            case Taken():
-                self.taken(note)
-            case Declined():
-                self.declined(note)
+            case Answer():
+                self.answered(note)
+            case Lost():
+                self.losing()
+                self.lost += 1
             case api.Stood():
                 self.stood(note)
             case api.TryEnded():
@@ -431,10 +423,11 @@
             self.loop.put(self.exchange(entry.exchange), Told(entry))
         if self.loop.settings.get("discovery", "push") != "ask":
             return
-        if note.form == "failed" or not self.followed:
-            # Asking again by chance, so that agents that failed together do not ask together.
+        if not self.followed:
             self.followed = True
-            wait = int(self.loop.chance() * SECOND) if note.form == "failed" else 0
+            self.loop.actions.append(api.FollowList())
+        elif note.form == "failed":  # by chance: agents that failed together should not ask together
+            wait = int(self.loop.chance() * SECOND)
             self.loop.actions.append(api.SetTimer(self.loop.now + wait, "follow"))
 
     def timer(self, token: str) -> None:
@@ -443,6 +436,13 @@
         elif token.isdigit() and (call := self.calls.get(int(token))) is not None and call.out is None:
             self.offer(call)
 
+    def losing(self) -> bool:
+        """Set-ups get lost, and not one alone; the count is halved, so that old losses fade."""
+        halvings = (self.loop.now - self.lost_halved_at) // HALVE_EVERY
+        self.lost /= 2 ** min(halvings, 20)
+        self.lost_halved_at += halvings * HALVE_EVERY
+        return self.lost >= LOST_FEWEST
+
     def at_number(self, number: int) -> Exchange | None:
         """A replacement has the number of the exchange it replaces; the ready one stands for the number."""
         found = None
@@ -470,46 +470,34 @@
     # The way of a call.
 
     def arrive(self, asked: api.CallArrived) -> None:
-        call = Call(asked, self.loop.now)
-        self.calls[asked.call] = call
-        gap = self.gaps.get(asked.number)
-        if gap is not None and not asked.transit and self.loop.now < gap.until:
-            self.block(call, gap.until - self.loop.now)
-            return
-        call.destination = self.at_number(asked.destination)
-        if call.destination is None or asked.destination == self.own_number:
-            self.block(call)  # nowhere to go, or nothing to route: a set-up to itself is a fault
-            return
-        self.offer(call)
+        destination = self.at_number(asked.destination)
+        until, _ = self.gaps.get(asked.number, (0, 0))
+        if destination is None or asked.destination == self.own_number:
+            # Nowhere to go, or nothing to route: a set-up to itself is a fault.
+            self.refuse(asked, self.target // 3)
+        elif self.loop.now < until and not asked.transit:
+            self.refuse(asked, until - self.loop.now)
+        else:
+            self.calls[asked.call] = Call(asked, self.loop.now, destination)
+            self.offer(self.calls[asked.call])
 
     def offer(self, call: Call) -> None:
         """The first question, also when a lost try is made again: may the call be set up at all?"""
         own = None if self.pools else self.at_number(self.own_number)
         if own is not None:
             self.loop.put(own, Offer(call, "own"))
-        elif call.destination is not None:
+        else:
             self.loop.put(call.destination, Offer(call, "destination"))
 
-    def taken(self, note: Taken) -> None:
-        call = note.call
-        if call.asked.call not in self.calls:
-            return
-        if note.role == "own":
-            assert call.destination is not None
+    def answered(self, note: Answer) -> None:
+        call, role = note.offer.call, note.offer.role
+        if role == "own" and note.taken:
             self.loop.put(call.destination, Offer(call, "destination"))
-        elif note.role == "destination":
-            self.find_routes(call)
-            self.next_route(call)
-        else:
+        elif role == "tandem" and note.taken:
             self.send(call, note.exchange)
-
-    def declined(self, note: Declined) -> None:
-        call = note.call
-        if call.asked.call not in self.calls:
-            return
-        if note.role == "tandem":
+        elif role == "tandem":
             self.next_route(call)
-        elif note.role == "destination" and self.pools:
+        elif role == "destination" and (note.taken or self.pools):
             self.find_routes(call)
             self.next_route(call)
         else:
@@ -518,7 +506,7 @@
     def find_routes(self, call: Call) -> None:
         """The design's order: direct, then tandems by rising score, ties to the leg with most free."""
         direct = call.destination
-        if direct is not None and direct.has_room(call.width):
+        if direct.has_room(call.asked.width):
             call.routes.append(direct)
         if call.asked.transit:
             return
@@ -529,7 +517,7 @@
                 continue
             if self.pools and one.number not in allowed:
                 continue
-            if not one.has_room(call.width + LEG_MARGIN):
+            if not one.has_room(call.asked.width + LEG_MARGIN):
                 continue
             record = self.record(call, one)
             if self.loop.now >= record.paused_until:
@@ -539,17 +527,12 @@
 
     def next_route(self, call: Call) -> None:
         """Offers the call to its next route, or gives it up at once when there is none."""
-        now = self.loop.now
-        if now < call.release_at:
-            self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
-            return
         while call.routes and call.tries < self.loop.settings.get("route_try_limit", 1):
             route = call.routes.popleft()
             if route is call.destination:
-                if route.has_room(call.width):
-                    self.send(call, route)
-                    return
-            elif call.tandems_offered < MOST_TANDEMS and route.has_room(call.width + LEG_MARGIN):
+                self.send(call, route)
+                return
+            if call.tandem_tries < MOST_TANDEMS and route.has_room(call.asked.width + LEG_MARGIN):
                 self.loop.put(route, Offer(call, "tandem"))
                 return
         self.block(call)
@@ -561,30 +544,29 @@
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
             self.block(call)
             return
-        early = route.patience()
+        early = route.patience() if self.losing() else 0
         if early > 0 and now + early + self.loop.settings.get("release_time", 0) < call.asked.abandon_at:
             patience = min(patience, early)
         call.out = route
         call.tries += 1
         if route is not call.destination:
-            call.tandems_offered += 1
+            call.tandem_tries += 1
         self.loop.put(route, Sent())
         self.loop.actions.append(api.SetUp(call.asked.call, route.name, patience))
 
-    def block(self, call: Call, come_back: int = 0) -> None:
-        """The only place that answers. A try that may have run must not be called blocked (rule 2).
-
-        A caller who is back within the GoS target may yet stand in time; later he is mostly work for nothing.
-        """
-        if self.calls.pop(call.asked.call, None) is None:
-            return
+    def block(self, call: Call) -> None:
+        """Gives a call up. A try that may have run must not be called blocked (rule 2)."""
+        del self.calls[call.asked.call]
         if call.may_have_run and self.effect(call) != "safe":
             self.loop.actions.append(api.Abort(call.asked.call))
-            return
+        else:
+            # Back within the GoS target the caller may yet stand in time; later he is work for little.
+            self.refuse(call.asked, self.target // 3)
+
+    def refuse(self, asked: api.CallArrived, come_back: int) -> None:
         get = self.loop.settings.get
-        most = get("come_back_limit", 0) if get("come_back", False) and not call.asked.transit else 0
-        come_back = come_back or self.target // 3
-        self.loop.actions.append(api.Block(call.asked.call, min(come_back, most)))
+        most = get("come_back_limit", 0) if get("come_back", False) and not asked.transit else 0
+        self.loop.actions.append(api.Block(asked.call, min(come_back, most)))
 
     def effect(self, call: Call) -> str:
         effect: str = self.loop.settings.get(f"effect:{call.asked.bearer_type}", "safe")
@@ -593,65 +575,67 @@
     # What became of a route try.
 
     def stood(self, note: api.Stood) -> None:
-        route = self.exchange(note.exchange)
-        call = self.calls.get(note.call)
+        call = self.calls.pop(note.call, None)
         if call is not None:
-            self.loop.put(route, Settled(note.delay))
+            route = self.exchange(note.exchange)
+            self.loop.put(route, Settled("stood", note.delay))
             self.record(call, route).note(self.loop.now, True, note.delay)
             self.gaps.pop(call.asked.number, None)
-            call.routes.clear()
-            del self.calls[note.call]
 
     def try_ended(self, note: api.TryEnded) -> None:
-        now = self.loop.now
         route = self.exchange(note.exchange)
         self.loop.put(route, Figures(note.load))
         call = self.calls.get(note.call)
         if call is None:
             return
         call.out = None
-        pressed = note.cause == "processor_full" or note.result == "timeout"
-        waited = note.delay if note.result == "timeout" else -1
-        down = note.result == "connect_failed"
-        self.loop.put(route, Settled(waited, pressed and note.result != "moot", down))
-        if note.cause == "beyond_full" and call.destination is not None:
-            self.loop.put(call.destination, Settled(pressed=True))
-        if note.result not in ("moot", "cancelled") and note.cause != "lines_busy":
-            self.record(call, route).note(now, False, note.delay)
-        if note.cause in ("turned_back", "beyond_full"):
-            self.record(call, route).paused_until = now + TANDEM_PAUSE
-        if note.cause == "lines_busy":
-            self.widen_gap(call.asked.number)
+        self.learn(call, route, note)
         if note.done:
             del self.calls[note.call]
             return
-        if note.result in ("timeout", "reset", "cancelled"):
-            call.release_at = now + self.loop.settings.get("release_time", 0)
-        if note.result in ("timeout", "reset", "cancelled", "error"):
-            call.may_have_run = True
-            if self.effect(call) != "safe":
-                call.routes.clear()
-        if note.cause in ("beyond_full", "processor_full", "lines_busy"):
-            call.routes.clear()
-        if note.result in ("timeout", "reset") and self.effect(call) == "safe":
-            call.routes.clear()
-            in_time = call.release_at < min(call.arrived + self.target, call.asked.abandon_at)
-            if note.result == "timeout" and in_time and not call.asked.transit:
-                self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
-                return
-        if not call.routes:
+        cut_off = note.result in ("timeout", "reset", "cancelled")
+        if cut_off:
+            call.release_at = self.loop.now + self.loop.settings.get("release_time", 0)
+        call.may_have_run |= cut_off or note.result == "error"
+        safe = not call.may_have_run or self.effect(call) == "safe"
+        if cut_off or not safe or note.cause in ("beyond_full", "processor_full", "lines_busy"):
+            call.routes.clear()  # a tandem leads to the same processor and the same number
+        in_time = call.release_at < min(call.arrived + self.target, call.asked.abandon_at)
+        if note.result == "timeout" and safe and in_time and not call.asked.transit:
+            self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
+        elif call.routes:
+            self.next_route(call)
+        else:
             self.block(call)
+
+    def learn(self, call: Call, route: Exchange, note: api.TryEnded) -> None:
+        """What the outcome tells of the route, the exchanges on it and the number."""
+        if note.result == "timeout":
+            self.loop.put(route, Settled("pressed", note.delay))
+        elif note.result == "connect_failed":
+            self.loop.put(route, Settled("down"))
+        elif note.cause == "processor_full" and note.result != "moot":
+            self.loop.put(route, Settled("pressed"))
         else:
-            self.next_route(call)
+            self.loop.put(route, Settled())
+        if note.cause == "beyond_full":
+            self.loop.put(call.destination, Settled("pressed", elsewhere=True))
+        record = self.record(call, route)
+        if note.cause in ("turned_back", "beyond_full"):
+            # Few set-ups fall to one destination and tandem: the five that a score needs would come too late.
+            record.paused_until = self.loop.now + SPAN_SLOTS * SLOT
+        if note.cause == "lines_busy":
+            self.widen_gap(call.asked.number)
+        elif note.result not in ("moot", "cancelled"):
+            record.note(self.loop.now, False, note.delay)
 
     def widen_gap(self, number: str) -> None:
         """Guards against a hot number: its callers' repeats cost every processor on the way, for nothing."""
-        if not number:
-            return
         now = self.loop.now
-        gap = self.gaps.get(number)
-        length = self.GAP_FIRST if gap is None else min(2 * gap.length, self.GAP_MOST)
-        self.gaps[number] = NumberGap(now + length, length)
+        _, length = self.gaps.get(number, (0, 0))
+        length = min(2 * length, self.GAP_MOST) if length else self.GAP_FIRST
+        self.gaps = {one: gap for one, gap in self.gaps.items() if now < gap[0] + self.GAP_MOST}
+        self.gaps[number] = (now + length, length)
 
 
 class Controller:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 import pytest
 
 from peattrestle import interface as api
-from peattrestle.control import RouteRecord
+from peattrestle.control import Controller, RouteRecord
 from tests.helpers import MS, Agent, answers, sent
 
 
@@ -77,6 +77,25 @@
     assert sent(agent.call(10_020, 3)) == ["x3"]
 
 
+def lose_two(agent: Agent) -> None:
+    for one in range(4):
+        agent.call(20 * one, 100 + one)
+        agent.call(20 * one + 1, 200 + one)
+        agent.stood(20 * one + 10, 200 + one, 1, 9)
+        if one < 2:
+            agent.ended(20 * one + 15, 100 + one, 1, "timeout", delay=15 * MS, done=True)
+        else:
+            agent.stood(20 * one + 15, 100 + one, 1, 15)
+
+
+def test_no_early_time_out_where_nothing_was_lost() -> None:
+    agent = Agent()
+    for one in range(4):
+        agent.call(one, 100 + one)
+        agent.stood(10 + one, 100 + one, 1, 10)
+    assert [one.patience for one in agent.call(100, 1) if isinstance(one, api.SetUp)] == [2990 * MS]
+
+
 @pytest.mark.parametrize(("call", "result", "effect", "resent"), [
     ({}, "timeout", "safe", True),
     ({}, "timeout", "unsafe", False),
@@ -87,9 +106,7 @@
 def test_a_lost_set_up_is_tried_again_after_the_release(call: dict[str, Any], result: str, effect: str,
                                                         resent: bool) -> None:
     agent = Agent(settings={"effect:line": effect})
-    for one in range(4):
-        agent.call(0, 100 + one, 1)
-        agent.stood(50, 100 + one, 1)
+    lose_two(agent)
     actions = agent.call(100, 1, **call)
     early = 1300 if call.get("patience") else 1050
     assert [one.patience for one in actions if isinstance(one, api.SetUp)] == [early * MS]
@@ -226,10 +243,10 @@
 
 
 def test_a_list_that_must_be_asked_for_is_followed_and_asked_again() -> None:
-    agent = Agent(settings={"discovery": "ask"})
-    assert agent.at(1, api.TimerDue("follow")) == [api.FollowList()]
-    actions = agent.at(2, api.Listed("failed"))
-    assert [type(one) for one in actions] == [api.SetTimer]
+    controller = Controller(1, {"discovery": "ask"})
+    assert controller.handle(0, [api.Listed("cached")]) == [api.FollowList()]
+    assert [type(one) for one in controller.handle(1, [api.Listed("failed")])] == [api.SetTimer]
+    assert controller.handle(2, [api.TimerDue("follow")]) == [api.FollowList()]
 
 
 def test_pools_of_second_choice_stand_in() -> None:
