--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -221,7 +221,7 @@
     WINDOW_START = 4.0    # enough to begin with; a few answers in time widen it
     WINDOW_LEAST = 0.05   # below 1 a call goes by this chance though none is out
     REOPEN = 0.1          # of a window a second: with few calls nothing else would tell that it is over
-    LATE_CUT, FULL_CUT = 0.7, 0.5
+    CUT = 0.5
     CUT_EVERY = SECOND // 2  # what was sent before a cut says nothing about the cut
     SOON = 0.9            # share of the answered set-ups that must have come soon, by twice, to give up early
 
@@ -279,8 +279,7 @@
             self.window = self.WINDOW_LEAST   # nothing listens there, whatever the list still says
             self.cut_at = now + self.CUT_EVERY
         elif note.how and now >= self.cut_at:
-            cut = self.LATE_CUT if note.how == "stood" else self.FULL_CUT
-            self.window = max(self.WINDOW_LEAST, self.window * cut)
+            self.window = max(self.WINDOW_LEAST, self.window * self.CUT)
             self.cut_at = now + self.CUT_EVERY
         if self.closed != (self.window < 1) and not 1 <= self.window < 2:
             self.closed = not self.closed
