--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from peattrestle.wirehost.host import Host
+from peattrestle.wirehost.host import Host, main
 from peattrestle.wirehost.parse import Line, Malformed, settings
 
 BOOT = ('{"StepUs": 5000, "NInstances": 2, "New": {"x": 1}, "Caps": {"AttemptsCap": 6},'
@@ -68,3 +68,20 @@
 def test_a_text_field_runs_to_the_end_of_its_line() -> None:
     line = Line('enlist Agent=3 BootInfo={"a": "b c=d"}')
     assert (line.whole("Agent"), line.text("BootInfo")) == (3, '{"a": "b c=d"}')
+
+
+@pytest.mark.parametrize(("text", "code", "out", "err"), [
+    (START + "go\n", 0, "ack\n", ""),
+    (START + "call Agent=0 Id=x\ngo\n", 2, "", "wirehost: line 7: Id=x is not a whole number\n"),
+    (START + CALL + "go\n", 1, "die Agent=0 BodyText=ValueError: broken at line ", ""),
+])
+def test_how_it_ends(text: str, code: int, out: str, err: str, monkeypatch: pytest.MonkeyPatch,
+                     capsys: pytest.CaptureFixture[str]) -> None:
+    def fail(self: object, asked: object) -> None:
+        raise ValueError("broken")
+
+    monkeypatch.setattr("peattrestle.control.Home.arrive", fail)
+    monkeypatch.setattr("sys.stdin", io.StringIO(text))
+    assert main() == code
+    told = capsys.readouterr()
+    assert (told.out.startswith(out), told.err) == (True, err)
