--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -258,3 +258,24 @@
 def test_the_same_events_lead_to_the_same_actions() -> None:
     runs = [[Agent(seed=3).call(10, one) for one in range(30)] for _ in range(2)]
     assert runs[0] == runs[1]
+
+
+@pytest.mark.parametrize(("result", "cause", "done", "safe", "unsafe"), [
+    ("served", "", True, [], []),
+    ("error", "", False, ["Block"], ["Abort"]),
+    ("full", "processor_full", False, ["Block"], ["Block"]),
+    ("timeout", "", False, ["SetTimer"], ["Abort"]),
+    ("connect_failed", "", False, ["Block"], ["Block"]),
+    ("reset", "", False, ["Block"], ["Abort"]),
+    ("cancelled", "", False, ["Block"], ["Abort"]),
+    ("moot", "processor_full", False, ["Block"], ["Block"]),
+])
+@pytest.mark.parametrize("effect", ["safe", "unsafe"])
+def test_each_outcome_of_a_direct_try(result: str, cause: str, done: bool, effect: str, safe: list[str],
+                                      unsafe: list[str]) -> None:
+    agent = Agent({2: 0, 3: 0}, settings={"effect:line": effect})
+    agent.call(0, 1)
+    actions = agent.ended(50, 1, 1, result, cause=cause, done=done)
+    names = [type(one).__name__ for one in actions if not isinstance(one, api.Log)]
+    assert names == (safe if effect == "safe" else unsafe)
+    assert sent(agent.at(349, api.TimerDue("1"))) == []   # the release time is not over
