--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -372,6 +372,8 @@
         self.target = min((int(get(f"gos_target:{one}", SECOND)) for one in types), default=SECOND)
         self.revenue = {one: float(get(f"revenue:{one}", 1.0)) for one in types}
         self.mean_revenue = sum(self.revenue.values()) / max(1, len(types)) or 1.0
+        # Back within the GoS target a caller may yet stand in time; later he is work for little.
+        self.come_back = self.target // 3
         repeat_gap = get("repeat_gap", 0)
         self.late = min(self.target // 2, repeat_gap or self.target)  # a repeat is work that sets up nothing
         self.holding = max((int(get(f"holding:{one}", SECOND)) for one in types), default=SECOND)
@@ -473,7 +475,7 @@
         until, _ = self.gaps.get(asked.number, (0, 0))
         if destination is None or asked.destination == self.own_number:
             # Nowhere to go, or nothing to route: a set-up to itself is a fault.
-            self.refuse(asked, self.target // 3)
+            self.refuse(asked, self.come_back)
         elif self.loop.now < until and not asked.transit:
             self.refuse(asked, until - self.loop.now)
         else:
@@ -512,7 +514,7 @@
         allowed = self.loop.settings.get(f"pools:{call.asked.bearer_type}", ())
         ranked = []
         for one in self.exchanges.values():
-            if one is direct or one.state != "ready" or one.number == self.own_number:
+            if one is direct or one.number == self.own_number:
                 continue
             if self.pools and one.number not in allowed:
                 continue
@@ -559,8 +561,7 @@
         if call.may_have_run and self.effect(call) != "safe":
             self.loop.actions.append(api.Abort(call.asked.call))
         else:
-            # Back within the GoS target the caller may yet stand in time; later he is work for little.
-            self.refuse(call.asked, self.target // 3)
+            self.refuse(call.asked, self.come_back)
 
     def refuse(self, asked: api.CallArrived, come_back: int) -> None:
         get = self.loop.settings.get
--- a/peattrestle/wirehost/host.py
+++ b/peattrestle/wirehost/host.py
@@ -69,19 +69,15 @@
     def batch(self) -> None:
         while (line := self.next_line()).kind != "go":
             self.take(line)
-        for agent in list(self.pending):
-            self.settle(agent)
+        for agent, events in self.pending.items():
+            actions = self.instances[agent].controller.handle(self.now, events)
+            self.reply.extend(line_of(agent, action) for action in actions)
+        self.pending.clear()
         self.reply.append("ack\n")
         self.sink.write("\n".join(self.reply))
         self.sink.flush()
         self.reply.clear()
 
-    def settle(self, agent: int) -> None:
-        events = self.pending.pop(agent, None)
-        if events:
-            actions = self.instances[agent].controller.handle(self.now, events)
-            self.reply.extend(line_of(agent, action) for action in actions)
-
     def take(self, line: Line) -> None:
         if line.kind == "":
             return
--- a/peattrestle/wirehost/parse.py
+++ b/peattrestle/wirehost/parse.py
@@ -76,7 +76,8 @@
             spot = spot.get(part) if isinstance(spot, dict) else None
         return spot
 
-    flat = {ours: _setting(path, at(path)) for path, ours in words.SETTINGS.items() if at(path) is not None}
+    flat = {ours: _setting(path, value) for path, ours in words.SETTINGS.items()
+            if (value := at(path)) is not None}
     classes = at("Classes") or []
     flat["bearer_types"] = tuple(one["Name"] for one in classes)
     for place, one in enumerate(classes):
