Tandems seen to reach a destination first; overflow braked as answers get late

Cause: with 60 exchanges an agent sends a destination one call in some ten seconds.

The brake harms where circuits alone are short and answers are late for another reason.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -9,9 +9,10 @@
 
 1. cold budget: an exchange that has just started gets no more than this agent's share of what fells it;
 2. window: set-ups out to an exchange that answers late, full or not at all are kept few, by chance;
-3. tandem pause: a tandem that turned a call back gets none for that destination for one span;
-4. early time-out: while set-ups get lost, an unanswered one is given up in time for one more try;
-5. called-number gap: calls to a number whose lines are all busy are turned away for a while.
+3. tandem pause: a tandem that has no room to a destination gets no call for there for a span or more;
+4. overflow brake: calls that could go direct overflow to tandems less as answers get late or missing;
+5. early time-out: while set-ups get lost, an unanswered one is given up in time for one more try;
+6. called-number gap: calls to a number whose lines are all busy are turned away for a while.
 
 Each exchange is an actor with an inbox, the own one too; `Home` keeps the calls. To set a call up, Home
 offers it by notes to the own exchange, to the destination and to a tandem in turn; each takes or declines.
@@ -63,12 +64,14 @@
 
 @dataclass(slots=True)
 class Sent:
-    """A set-up went out to this exchange."""
+    """A set-up went out to this exchange (`out`), or starts here, or leads on to here."""
+
+    out: bool
 
 
 @dataclass(slots=True)
 class Settled:
-    """A set-up there stands or has ended; `how` is 'stood', 'pressed', 'down', or '' where it tells nothing.
+    """A set-up there stands or has ended; `how`: 'stood', 'pressed', 'missed', 'down', or '' tells nothing.
 
     It is `elsewhere` where another exchange's set-up told of this one.
     """
@@ -78,26 +81,7 @@
     elsewhere: bool = False
 
 
-@dataclass(slots=True)
-class Lost:
-    """A set-up got no answer from an exchange that answered later ones."""
-
-
-@dataclass(slots=True)
-class Told:
-    """The list's line for this exchange."""
-
-    entry: api.Entry
-
-
-@dataclass(slots=True)
-class Figures:
-    """Load figures of this exchange, the own group's circuits among them."""
-
-    load: api.Load
-
-
-Note = Offer | Answer | Sent | Settled | Lost | Told | Figures | api.Event
+Note = Offer | Answer | Sent | Settled | api.Entry | api.Event
 
 
 class Actor:
@@ -120,6 +104,7 @@
         self.actions: list[api.Action] = []
         self._state = seed & 0xFFFFFFFFFFFFFFFF
         self._waiting: deque[Actor] = deque()
+        self._log_at = 0
 
     def put(self, actor: Actor, note: Note) -> None:
         actor.inbox.append(note)
@@ -130,6 +115,12 @@
             actor = self._waiting.popleft()
             actor.receive(actor.inbox.popleft())
 
+    def log(self, text: str) -> None:
+        """Where many exchanges are in trouble, one line a span tells as much as all."""
+        if self.now >= self._log_at:
+            self._log_at = self.now + SPAN_SLOTS * SLOT
+            self.actions.append(api.Log(text))
+
     def chance(self) -> float:
         """Knuth's MMIX generator; the low bits of such a generator repeat soon, so the high ones are used."""
         self._state = (self._state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
@@ -149,11 +140,13 @@
 class RouteRecord:
     """Answer ratio and set-up delay of one destination and route over the design's span."""
 
-    __slots__ = ("slots", "paused_until")
+    __slots__ = ("slots", "paused_until", "turned_back", "reaches")
 
     def __init__(self) -> None:
         self.slots: deque[Slot] = deque()
         self.paused_until = 0
+        self.turned_back = 0
+        self.reaches = False
 
     def note(self, now: int, stood: bool, delay: int) -> None:
         index = now // SLOT
@@ -164,6 +157,17 @@
         slot.setups += 1
         slot.stood += stood
         slot.delay += delay
+        self.reaches |= stood
+        self.turned_back *= not stood
+
+    def pause(self, now: int) -> None:
+        """Guards against tandems without a way on: only the calls they turn back tell of their groups.
+
+        Few set-ups fall to one destination and tandem: the five that a score needs would come too late.
+        One that never set a call up to there may have no group at all, so it waits longer each time.
+        """
+        self.paused_until = now + SPAN_SLOTS * SLOT * 2 ** min(self.turned_back, 5)
+        self.turned_back += not self.reaches
 
     def rotate(self, index: int) -> None:
         while self.slots and self.slots[0].index <= index - SPAN_SLOTS:
@@ -202,15 +206,15 @@
             self.halve_at = now + HALVE_EVERY
         self.bins[bisect_left(self.EDGES, share)] += 1
 
+    def above(self, share: float) -> float:
+        return sum(self.bins[bisect_left(self.EDGES, share) + 1:])
+
     def quantile(self, part: float) -> float:
-        """The upper edge of the bin that the part falls in; above the last edge, or unknown: infinite."""
-        total = sum(self.bins)
-        if total < self.FEWEST:
-            return inf
-        below = 0.0
+        """The upper edge of the bin that the part falls in; above the last edge, or of too few: infinite."""
+        total, below = sum(self.bins), 0.0
         for edge, weight in zip(self.EDGES, self.bins, strict=False):
             below += weight
-            if below >= part * total:
+            if below >= part * max(total, self.FEWEST):
                 return edge
         return inf
 
@@ -232,38 +236,41 @@
         self.number = -1
         self.state = "gone"
         self.cold_until = 0
-        self.free = 0
-        self.size = -1
+        self.told_at, self.phase = 0, 0.0  # where in its window the agent starts
+        self.free, self.size = 0, -1
         self.sent: deque[int] = deque()
         self.out = 0
         self.window = self.WINDOW_START
-        self.cut_at = 0
+        self.cut_at = self.heard_at = 0
         self.delays = DelayHistogram()
-        self.heard_at = 0
         self.closed = False
 
     def receive(self, note: Note) -> None:
         match note:
             case Offer():
                 self.loop.put(self.home, Answer(note, self, self.lets(note)))
-            case Sent():
-                self.out += 1
+            case Sent(out):
+                self.out += out
+                if self.loop.now < self.cold_until:
+                    self.sent.append(self.loop.now)
             case Settled():
                 self.out -= not note.elsewhere
                 self.judge(note)
-            case Told(entry):
-                self.told(entry)
-            case Figures(load):
-                self.free = int(load.get("free", self.free))
-                self.size = int(load.get("size", self.size))
+            case api.Entry():
+                self.told(note)
+            case api.Reported() | api.TryEnded():
+                self.free = int(note.load.get("free", self.free))
+                self.size = int(note.load.get("size", self.size))
             case _:
                 raise TypeError(f"exchange got {note!r}")
 
     def told(self, entry: api.Entry) -> None:
         self.number = entry.number
         self.state = entry.state
-        if entry.started_at:
-            self.cold_until = max(self.cold_until, entry.started_at + self.loop.settings.get("cold_time", 0))
+        cold_until = entry.started_at + self.loop.settings.get("cold_time", 0) if entry.started_at else 0
+        if cold_until > self.cold_until:
+            self.cold_until = cold_until
+            self.told_at, self.phase = self.loop.now, self.loop.chance()
 
     def judge(self, note: Settled) -> None:
         """The window grows by one for each windowful in time; it shrinks by a share, once for each queue."""
@@ -273,8 +280,8 @@
         if note.how == "stood" and note.waited <= self.home.late:
             self.heard_at = now
             self.window = min(self.home.window_most(), self.window + min(self.window, 1 / self.window))
-        elif note.how == "pressed" and now - note.waited < self.heard_at:
-            self.loop.put(self.home, Lost())  # or the exchange would not have answered later set-ups in time
+        elif note.how == "missed" and now - note.waited < self.heard_at:
+            pass  # lost alone, or the exchange would not have answered later set-ups in time
         elif note.how == "down":
             self.window = self.WINDOW_LEAST   # nothing listens there, whatever the list still says
             self.cut_at = now + self.CUT_EVERY
@@ -283,18 +290,13 @@
             self.cut_at = now + self.CUT_EVERY
         if self.closed != (self.window < 1) and not 1 <= self.window < 2:
             self.closed = not self.closed
-            word = "pressed" if self.closed else "eased"
-            self.loop.actions.append(api.Log(f"exchange {self.number}: {word}"))
+            self.loop.log(f"exchange {self.number}: {'pressed' if self.closed else 'eased'}")
 
     def lets(self, offer: Offer) -> bool:
         own = offer.role == "own"  # it may drain or lag: its callers have no other, and nothing is sent to it
         if not own and (self.state != "ready" or self.pressed(offer.call)):
             return False
-        if self.loop.now < self.cold_until:
-            if not self.cold_room(own):
-                return False
-            self.sent.append(self.loop.now)
-        return True
+        return self.loop.now >= self.cold_until or self.cold_room(own)
 
     def patience(self) -> int:
         """Guards against set-ups that get lost: where nearly all stand soon, the rest are not waited for.
@@ -303,7 +305,8 @@
         where many would still stand, the time-out stays the caller's own.
         """
         target = self.home.target
-        most = min(1.0, self.delays.quantile(self.SOON)) * target
+        few = sum(self.delays.bins) < DelayHistogram.FEWEST  # then what is common to all stands in
+        most = min(1.0, (self.home if few else self).delays.quantile(self.SOON)) * target
         patience = target - self.loop.settings.get("release_time", 0) - most
         return int(patience) if patience >= 2 * most else 0
 
@@ -314,8 +317,7 @@
     def cold_room(self, own: bool) -> bool:
         """Guards rule 4: all agents may take the same step at once, so each keeps to its part of the budget.
 
-        What like exchanges carry is read off the own groups: their circuits over the mean holding time. Every
-        call has two ends, so half of an exchange's set-ups start there: that half is for its own agent.
+        Every call has two ends, so half of an exchange's set-ups start there: that half is for its own agent.
         """
         get = self.loop.settings.get
         carried = self.home.carried_per_second() * get("fall_time", 0) / SECOND
@@ -324,7 +326,9 @@
         window: float = get("fall_time", 0) / min(1.0, share)  # under one: one in longer
         while self.sent and self.sent[0] <= self.loop.now - window:
             self.sent.popleft()
-        return len(self.sent) < max(1, int(share))
+        # Many agents are told together, and restarted ones forget: a first one each would be a burst.
+        before = self.told_at - window * self.phase > self.loop.now - window
+        return len(self.sent) + before < max(1, int(share))
 
     def pressed(self, call: Call) -> bool:
         """Guards against a processor that is slow, swamped, silent or cut off, whatever the cause.
@@ -335,7 +339,8 @@
         if self.window < 1 and self.loop.now > self.cut_at:
             self.window = min(1.0, self.window + self.REOPEN * (self.loop.now - self.cut_at) / SECOND)
             self.cut_at = self.loop.now
-        over = self.out + 1 - self.window * self.home.worthiness(call)
+        worth = self.home.revenue.get(call.asked.bearer_type, 1.0) / self.home.mean_revenue
+        over = self.out + 1 - self.window * worth
         return over > 0 and self.loop.chance() < over
 
 
@@ -357,14 +362,18 @@
 class Home(Actor):
     """The own exchange's side: calls, routes, the design's records; the one place that sends and answers."""
 
+    STRAIN_MOST = 0.25  # from this share of late and missing answers on, no call overflows
     GAP_FIRST, GAP_MOST = SECOND, 8 * SECOND  # a line comes free within about a holding time
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
         get = loop.settings.get
         self.exchanges: dict[str, Exchange] = {}
+        self.numbers: dict[int, Exchange] = {}
+        self.circuits = 0                           # in all own groups; summed here, as there may be many
         self.calls: dict[int, Call] = {}
         self.records: dict[tuple[int, str], RouteRecord] = {}
+        self.untried = RouteRecord()
         self.gaps: dict[str, tuple[int, int]] = {}  # number: until, length
         self.own_number: int = get("own_number", -1)
         self.pools: bool = get("topology", "mesh") == "pools"
@@ -377,9 +386,9 @@
         repeat_gap = get("repeat_gap", 0)
         self.late = min(self.target // 2, repeat_gap or self.target)  # a repeat is work that sets up nothing
         self.holding = max((int(get(f"holding:{one}", SECOND)) for one in types), default=SECOND)
+        self.delays = DelayHistogram()
         self.followed = False
-        self.lost = 0.0
-        self.lost_halved_at = 0
+        self.lost, self.lost_halved_at = 0.0, 0
 
     def receive(self, note: Note) -> None:
         match note:
@@ -387,15 +396,12 @@
                 self.arrive(note)
             case Answer():
                 self.answered(note)
-            case Lost():
-                self.losing()
-                self.lost += 1
             case api.Stood():
                 self.stood(note)
             case api.TryEnded():
                 self.try_ended(note)
             case api.Reported():
-                self.loop.put(self.exchange(note.exchange), Figures(note.load))
+                self.figures(note)
             case api.Listed():
                 self.listed(note)
             case api.TimerDue(token):
@@ -419,9 +425,12 @@
             present = {entry.exchange for entry in note.entries}
             for one in self.exchanges.values():
                 if one.name not in present:
-                    self.loop.put(one, Told(api.Entry(one.name, one.number, "gone")))
+                    self.loop.put(one, api.Entry(one.name, one.number, "gone"))
         for entry in note.entries:
-            self.loop.put(self.exchange(entry.exchange), Told(entry))
+            one = self.exchange(entry.exchange)
+            if entry.state == "ready" or entry.number not in self.numbers:
+                self.numbers[entry.number] = one  # a replacement has the number of the exchange it replaces
+            self.loop.put(one, entry)
         if self.loop.settings.get("discovery", "push") != "ask":
             return
         if not self.followed:
@@ -437,41 +446,42 @@
         elif token.isdigit() and (call := self.calls.get(int(token))) is not None and call.out is None:
             self.offer(call)
 
-    def losing(self) -> bool:
-        """Set-ups get lost, and not one alone; the count is halved, so that old losses fade."""
+    def losses(self) -> float:
+        """Set-ups that got no answer lately, at any exchange; halved, so that old ones fade."""
         halvings = (self.loop.now - self.lost_halved_at) // HALVE_EVERY
         self.lost /= 2 ** min(halvings, 20)
         self.lost_halved_at += halvings * HALVE_EVERY
-        return self.lost >= LOST_FEWEST
+        return self.lost
+
+    def strain(self) -> float:
+        """Guards against a network tipped over by tandems: an overflowing call costs a third processor.
+
+        None can see how busy the others are; late and missing answers from all together tell.
+        """
+        missing, late = self.losses(), self.delays.above(self.late / self.target)
+        return (late + missing) / max(DelayHistogram.FEWEST, sum(self.delays.bins) + missing)
 
-    def at_number(self, number: int) -> Exchange | None:
-        """A replacement has the number of the exchange it replaces; the ready one stands for the number."""
-        found = None
-        for one in self.exchanges.values():
-            if one.number == number and one.state != "gone" and (found is None or one.state == "ready"):
-                found = one
-        return found
+    def figures(self, note: api.Reported | api.TryEnded) -> None:
+        one = self.exchange(note.exchange)
+        self.circuits += max(0, int(note.load.get("size", one.size))) - max(0, one.size)
+        self.loop.put(one, note)
 
     def carried_per_second(self) -> float:
-        circuits = sum(max(0, one.size) for one in self.exchanges.values())
-        return circuits * SECOND / self.holding
+        return self.circuits * SECOND / self.holding  # what like exchanges carry, read off the own groups
 
     def window_most(self) -> float:
         """All agents' windows together: what an exchange like the own one sets up within the GoS target."""
         agents: int = self.loop.settings.get("agents", 1)
-        return max(1.0, self.carried_per_second() * self.target / SECOND / max(1, agents - 1))
+        share = self.carried_per_second() * self.target / SECOND / max(1, agents - 1)
+        return max(Exchange.WINDOW_START, share)
 
-    def worthiness(self, call: Call) -> float:
-        """Above 1 for calls of more than the mean revenue."""
-        return self.revenue.get(call.asked.bearer_type, 1.0) / self.mean_revenue
-
-    def record(self, call: Call, route: Exchange) -> RouteRecord:
-        return self.records.setdefault((call.asked.destination, route.name), RouteRecord())
+    def record(self, destination: int, route: Exchange) -> RouteRecord:
+        return self.records.setdefault((destination, route.name), RouteRecord())
 
     # The way of a call.
 
     def arrive(self, asked: api.CallArrived) -> None:
-        destination = self.at_number(asked.destination)
+        destination = self.numbers.get(asked.destination)
         until, _ = self.gaps.get(asked.number, (0, 0))
         if destination is None or asked.destination == self.own_number:
             # Nowhere to go, or nothing to route: a set-up to itself is a fault.
@@ -479,16 +489,16 @@
         elif self.loop.now < until and not asked.transit:
             self.refuse(asked, until - self.loop.now)
         else:
+            if asked.transit and (origin := self.numbers.get(asked.via)) is not None:
+                # That exchange has no room to the destination, or it would not have sent the call this way.
+                self.record(asked.destination, origin).pause(self.loop.now)
             self.calls[asked.call] = Call(asked, self.loop.now, destination)
             self.offer(self.calls[asked.call])
 
     def offer(self, call: Call) -> None:
         """The first question, also when a lost try is made again: may the call be set up at all?"""
-        own = None if self.pools else self.at_number(self.own_number)
-        if own is not None:
-            self.loop.put(own, Offer(call, "own"))
-        else:
-            self.loop.put(call.destination, Offer(call, "destination"))
+        own = self.numbers.get(self.own_number)
+        self.loop.put(own or call.destination, Offer(call, "own" if own else "destination"))
 
     def answered(self, note: Answer) -> None:
         call, role = note.offer.call, note.offer.role
@@ -511,20 +521,19 @@
             call.routes.append(direct)
         if call.asked.transit:
             return
-        allowed = self.loop.settings.get(f"pools:{call.asked.bearer_type}", ())
+        overflows = direct.size > 0 and not self.pools  # else the tandem is the ordinary way
+        if overflows and self.loop.chance() < self.strain() / self.STRAIN_MOST:
+            return
+        get = self.loop.settings.get
+        allowed = get(f"pools:{call.asked.bearer_type}", ()) if self.pools else self.numbers
         ranked = []
-        for one in self.exchanges.values():
-            if one is direct or one.number == self.own_number:
-                continue
-            if self.pools and one.number not in allowed:
-                continue
-            if not one.has_room(call.asked.width + LEG_MARGIN):
-                continue
-            record = self.record(call, one)
-            if self.loop.now >= record.paused_until:
-                ranked.append((record.score(self.loop.now), -one.free, one.number, one))
-        ranked.sort(key=lambda row: row[:3])
-        call.routes.extend(row[3] for row in ranked)
+        for number, one in self.numbers.items():
+            record = self.records.get((call.asked.destination, one.name), self.untried)
+            if (number in allowed and one is not direct and number != self.own_number
+                    and self.loop.now >= record.paused_until and one.has_room(call.asked.width + LEG_MARGIN)):
+                # Among those that score alike, one seen to reach it: many have no group to there.
+                ranked.append((record.score(self.loop.now), not record.reaches, -one.free, number))
+        call.routes.extend(self.numbers[row[3]] for row in sorted(ranked))
 
     def next_route(self, call: Call) -> None:
         """Offers the call to its next route, or gives it up at once when there is none."""
@@ -545,32 +554,36 @@
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
             self.block(call)
             return
-        early = route.patience() if self.losing() else 0
+        early = route.patience() if self.losses() >= LOST_FEWEST else 0
         if early > 0 and now + early + self.loop.settings.get("release_time", 0) < call.asked.abandon_at:
             patience = min(patience, early)
         call.out = route
         call.tries += 1
         if route is not call.destination:
             call.tandem_tries += 1
-        self.loop.put(route, Sent())
+        self.loop.put(route, Sent(True))
+        for one in (call.destination, self.numbers.get(self.own_number)):
+            if one is not None and one is not route:
+                self.loop.put(one, Sent(False))  # a cold one has work of it all the same
         self.loop.actions.append(api.SetUp(call.asked.call, route.name, patience))
 
     def block(self, call: Call) -> None:
         """Gives a call up. A try that may have run must not be called blocked (rule 2)."""
         del self.calls[call.asked.call]
-        if call.may_have_run and self.effect(call) != "safe":
-            self.loop.actions.append(api.Abort(call.asked.call))
-        else:
+        if self.repeatable(call):
             self.refuse(call.asked, self.come_back)
+        else:
+            self.loop.actions.append(api.Abort(call.asked.call))
 
     def refuse(self, asked: api.CallArrived, come_back: int) -> None:
         get = self.loop.settings.get
         most = get("come_back_limit", 0) if get("come_back", False) and not asked.transit else 0
         self.loop.actions.append(api.Block(asked.call, min(come_back, most)))
 
-    def effect(self, call: Call) -> str:
-        effect: str = self.loop.settings.get(f"effect:{call.asked.bearer_type}", "safe")
-        return effect
+    def repeatable(self, call: Call) -> bool:
+        """Rule 2: nothing of it may have run, or running twice does no harm."""
+        effect = self.loop.settings.get(f"effect:{call.asked.bearer_type}", "safe")
+        return not call.may_have_run or effect == "safe"
 
     # What became of a route try.
 
@@ -579,12 +592,13 @@
         if call is not None:
             route = self.exchange(note.exchange)
             self.loop.put(route, Settled("stood", note.delay))
-            self.record(call, route).note(self.loop.now, True, note.delay)
+            self.delays.note(self.loop.now, note.delay / self.target)
+            self.record(call.asked.destination, route).note(self.loop.now, True, note.delay)
             self.gaps.pop(call.asked.number, None)
 
     def try_ended(self, note: api.TryEnded) -> None:
         route = self.exchange(note.exchange)
-        self.loop.put(route, Figures(note.load))
+        self.figures(note)
         call = self.calls.get(note.call)
         if call is None:
             return
@@ -597,21 +611,21 @@
         if cut_off:
             call.release_at = self.loop.now + self.loop.settings.get("release_time", 0)
         call.may_have_run |= cut_off or note.result == "error"
-        safe = not call.may_have_run or self.effect(call) == "safe"
+        safe = self.repeatable(call)
         if cut_off or not safe or note.cause in ("beyond_full", "processor_full", "lines_busy"):
             call.routes.clear()  # a tandem leads to the same processor and the same number
         in_time = call.release_at < min(call.arrived + self.target, call.asked.abandon_at)
         if note.result == "timeout" and safe and in_time and not call.asked.transit:
             self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
-        elif call.routes:
-            self.next_route(call)
         else:
-            self.block(call)
+            self.next_route(call)
 
     def learn(self, call: Call, route: Exchange, note: api.TryEnded) -> None:
         """What the outcome tells of the route, the exchanges on it and the number."""
-        if note.result == "timeout":
-            self.loop.put(route, Settled("pressed", note.delay))
+        short = note.result == "timeout" and note.delay < self.late  # the caller had no time: tells nothing
+        if note.result == "timeout" and not short:
+            self.loop.put(route, Settled("missed", note.delay))
+            self.lost = self.losses() + 1
         elif note.result == "connect_failed":
             self.loop.put(route, Settled("down"))
         elif note.cause == "processor_full" and note.result != "moot":
@@ -620,13 +634,12 @@
             self.loop.put(route, Settled())
         if note.cause == "beyond_full":
             self.loop.put(call.destination, Settled("pressed", elsewhere=True))
-        record = self.record(call, route)
+        record = self.record(call.asked.destination, route)
         if note.cause in ("turned_back", "beyond_full"):
-            # Few set-ups fall to one destination and tandem: the five that a score needs would come too late.
-            record.paused_until = self.loop.now + SPAN_SLOTS * SLOT
+            record.pause(self.loop.now)
         if note.cause == "lines_busy":
             self.widen_gap(call.asked.number)
-        elif note.result not in ("moot", "cancelled"):
+        elif note.result not in ("moot", "cancelled") and not short:
             record.note(self.loop.now, False, note.delay)
 
     def widen_gap(self, number: str) -> None:
