All set-ups from here are held while many answers are late; no blind tandem then

An agent sees all its own answers, ten a second at any size.

It should also hold back callers during any general slowness; it harms where answers are late for good, as over very long lines.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -8,9 +8,10 @@
 tandems by rising score with a leg margin. Beside it stand these mechanisms, six at most:
 
 1. cold budget: an exchange that has just started gets no more than this agent's share of what fells it;
-2. window: set-ups out to an exchange that answers late, full or not at all are kept few, by chance;
+2. window: set-ups out to an exchange that answers late, full or not at all are kept few, by chance; so are
+   all set-ups from here while many answers are late;
 3. tandem pause: a tandem that has no room to a destination gets no call for there for a span or more;
-4. overflow brake: calls that could go direct overflow to tandems less as answers get late or missing;
+4. overflow brake: as answers get late or missing, fewer calls overflow to tandems, and none blindly;
 5. early time-out: while set-ups get lost, an unanswered one is given up in time for one more try;
 6. called-number gap: calls to a number whose lines are all busy are turned away for a while.
 
@@ -42,7 +43,6 @@
 LEG_MARGIN = 2
 
 HALVE_EVERY = 4 * SECOND  # what is measured beside the design fades by half in this time
-LOST_FEWEST = 2.0         # one lost set-up may be chance
 
 
 @dataclass(slots=True)
@@ -226,6 +226,7 @@
     WINDOW_LEAST = 0.05   # below 1 a call goes by this chance though none is out
     REOPEN = 0.1          # of a window a second: with few calls nothing else would tell that it is over
     CUT = 0.5
+    OWN_STEP = 0.05       # of the own window, which holds all set-ups from here, at each answer
     CUT_EVERY = SECOND // 2  # what was sent before a cut says nothing about the cut
     SOON = 0.9            # share of the answered set-ups that must have come soon, by twice, to give up early
 
@@ -239,11 +240,9 @@
         self.told_at, self.phase = 0, 0.0  # where in its window the agent starts
         self.free, self.size = 0, -1
         self.sent: deque[int] = deque()
-        self.out = 0
-        self.window = self.WINDOW_START
+        self.out, self.window = 0, self.WINDOW_START
         self.cut_at = self.heard_at = 0
         self.delays = DelayHistogram()
-        self.closed = False
 
     def receive(self, note: Note) -> None:
         match note:
@@ -261,12 +260,11 @@
             case api.Reported() | api.TryEnded():
                 self.free = int(note.load.get("free", self.free))
                 self.size = int(note.load.get("size", self.size))
-            case _:
-                raise TypeError(f"exchange got {note!r}")
 
     def told(self, entry: api.Entry) -> None:
-        self.number = entry.number
-        self.state = entry.state
+        self.number, self.state = entry.number, entry.state
+        if self.number == self.home.own_number and not self.out:
+            self.window = inf
         cold_until = entry.started_at + self.loop.settings.get("cold_time", 0) if entry.started_at else 0
         if cold_until > self.cold_until:
             self.cold_until = cold_until
@@ -275,11 +273,20 @@
     def judge(self, note: Settled) -> None:
         """The window grows by one for each windowful in time; it shrinks by a share, once for each queue."""
         now = self.loop.now
+        in_time = note.how == "stood" and note.waited <= self.home.late
+        if self.number == self.home.own_number:
+            # Guards against a network that stays jammed by its callers' repeats when what jammed it is over.
+            if in_time:
+                self.window = min(self.home.window_most(1), self.window * (1 + self.OWN_STEP))
+            elif note.how in ("stood", "missed") and self.home.strain() > self.home.STRAIN_MOST:
+                self.window = max(1.0, min(self.window, self.out + 1) * (1 - self.OWN_STEP))
+            return
         if note.how == "stood":
             self.delays.note(now, note.waited / self.home.target)
-        if note.how == "stood" and note.waited <= self.home.late:
+        if in_time:
             self.heard_at = now
-            self.window = min(self.home.window_most(), self.window + min(self.window, 1 / self.window))
+            most = self.home.window_most(self.home.peers)
+            self.window = min(most, self.window + min(self.window, 1 / self.window))
         elif note.how == "missed" and now - note.waited < self.heard_at:
             pass  # lost alone, or the exchange would not have answered later set-ups in time
         elif note.how == "down":
@@ -288,21 +295,18 @@
         elif note.how and now >= self.cut_at:
             self.window = max(self.WINDOW_LEAST, self.window * self.CUT)
             self.cut_at = now + self.CUT_EVERY
-        if self.closed != (self.window < 1) and not 1 <= self.window < 2:
-            self.closed = not self.closed
-            self.loop.log(f"exchange {self.number}: {'pressed' if self.closed else 'eased'}")
+            self.loop.log(f"exchange {self.number}: pressed")
 
     def lets(self, offer: Offer) -> bool:
         own = offer.role == "own"  # it may drain or lag: its callers have no other, and nothing is sent to it
-        if not own and (self.state != "ready" or self.pressed(offer.call)):
+        if (not own and self.state != "ready") or self.pressed(offer.call):
             return False
         return self.loop.now >= self.cold_until or self.cold_room(own)
 
     def patience(self) -> int:
         """Guards against set-ups that get lost: where nearly all stand soon, the rest are not waited for.
 
-        What is left must hold the release time and a second try within the GoS target; at a slow exchange,
-        where many would still stand, the time-out stays the caller's own.
+        The GoS target must hold the release time and a second try too; a slow exchange is waited for.
         """
         target = self.home.target
         few = sum(self.delays.bins) < DelayHistogram.FEWEST  # then what is common to all stands in
@@ -312,7 +316,8 @@
 
     def has_room(self, circuits: int) -> bool:
         """A group nothing is known of yet is tried: the wire turns a set-up without circuits back unsent."""
-        return self.state == "ready" and (self.size < 0 or self.free >= circuits)
+        own = self.number == self.home.own_number
+        return self.state == "ready" and not own and (self.size < 0 or self.free >= circuits)
 
     def cold_room(self, own: bool) -> bool:
         """Guards rule 4: all agents may take the same step at once, so each keeps to its part of the budget.
@@ -320,9 +325,9 @@
         Every call has two ends, so half of an exchange's set-ups start there: that half is for its own agent.
         """
         get = self.loop.settings.get
-        carried = self.home.carried_per_second() * get("fall_time", 0) / SECOND
+        carried = self.home.circuits * get("fall_time", 0) / self.home.holding
         budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried / 2
-        share = max(0.01, budget if own else budget / max(1, get("agents", 1) - 1))
+        share = max(0.01, budget if own else budget / self.home.peers)
         window: float = get("fall_time", 0) / min(1.0, share)  # under one: one in longer
         while self.sent and self.sent[0] <= self.loop.now - window:
             self.sent.popleft()
@@ -362,7 +367,7 @@
 class Home(Actor):
     """The own exchange's side: calls, routes, the design's records; the one place that sends and answers."""
 
-    STRAIN_MOST = 0.25  # from this share of late and missing answers on, no call overflows
+    STRAIN_MOST = 0.25  # from this share of late answers on, no call overflows and the own window shrinks
     GAP_FIRST, GAP_MOST = SECOND, 8 * SECOND  # a line comes free within about a holding time
 
     def __init__(self, loop: Loop) -> None:
@@ -370,12 +375,13 @@
         get = loop.settings.get
         self.exchanges: dict[str, Exchange] = {}
         self.numbers: dict[int, Exchange] = {}
-        self.circuits = 0                           # in all own groups; summed here, as there may be many
+        self.circuits = 0  # in all own groups; over the holding time, what a like exchange carries
         self.calls: dict[int, Call] = {}
         self.records: dict[tuple[int, str], RouteRecord] = {}
         self.untried = RouteRecord()
         self.gaps: dict[str, tuple[int, int]] = {}  # number: until, length
         self.own_number: int = get("own_number", -1)
+        self.peers: int = max(1, get("agents", 1) - 1)
         self.pools: bool = get("topology", "mesh") == "pools"
         types: tuple[str, ...] = get("bearer_types", ())
         self.target = min((int(get(f"gos_target:{one}", SECOND)) for one in types), default=SECOND)
@@ -409,9 +415,7 @@
             case api.CallerLeft():
                 gone = self.calls.pop(note.call, None)
                 if gone is not None and gone.out is not None:
-                    self.loop.put(gone.out, Settled())
-            case _:
-                raise TypeError(f"home got {note!r}")
+                    self.settled(gone.out, Settled())
 
     # What is known of the network.
 
@@ -431,12 +435,11 @@
             if entry.state == "ready" or entry.number not in self.numbers:
                 self.numbers[entry.number] = one  # a replacement has the number of the exchange it replaces
             self.loop.put(one, entry)
-        if self.loop.settings.get("discovery", "push") != "ask":
-            return
-        if not self.followed:
+        asks = self.loop.settings.get("discovery", "push") == "ask"
+        if asks and not self.followed:
             self.followed = True
             self.loop.actions.append(api.FollowList())
-        elif note.form == "failed":  # by chance: agents that failed together should not ask together
+        elif asks and note.form == "failed":  # by chance: agents that failed together should not ask together
             wait = int(self.loop.chance() * SECOND)
             self.loop.actions.append(api.SetTimer(self.loop.now + wait, "follow"))
 
@@ -453,12 +456,9 @@
         self.lost_halved_at += halvings * HALVE_EVERY
         return self.lost
 
-    def strain(self) -> float:
-        """Guards against a network tipped over by tandems: an overflowing call costs a third processor.
-
-        None can see how busy the others are; late and missing answers from all together tell.
-        """
-        missing, late = self.losses(), self.delays.above(self.late / self.target)
+    def strain(self, missing: float = 0.0) -> float:
+        """The share of late answers: none sees how busy the others are, but all its answers together tell."""
+        late = self.delays.above(self.late / self.target)
         return (late + missing) / max(DelayHistogram.FEWEST, sum(self.delays.bins) + missing)
 
     def figures(self, note: api.Reported | api.TryEnded) -> None:
@@ -466,14 +466,9 @@
         self.circuits += max(0, int(note.load.get("size", one.size))) - max(0, one.size)
         self.loop.put(one, note)
 
-    def carried_per_second(self) -> float:
-        return self.circuits * SECOND / self.holding  # what like exchanges carry, read off the own groups
-
-    def window_most(self) -> float:
+    def window_most(self, agents: int) -> float:
         """All agents' windows together: what an exchange like the own one sets up within the GoS target."""
-        agents: int = self.loop.settings.get("agents", 1)
-        share = self.carried_per_second() * self.target / SECOND / max(1, agents - 1)
-        return max(Exchange.WINDOW_START, share)
+        return max(Exchange.WINDOW_START, self.circuits * self.target / self.holding / agents)
 
     def record(self, destination: int, route: Exchange) -> RouteRecord:
         return self.records.setdefault((destination, route.name), RouteRecord())
@@ -521,18 +516,20 @@
             call.routes.append(direct)
         if call.asked.transit:
             return
-        overflows = direct.size > 0 and not self.pools  # else the tandem is the ordinary way
-        if overflows and self.loop.chance() < self.strain() / self.STRAIN_MOST:
+        # Guards against a network tipped over by tandems: an overflowing call costs a third processor.
+        braked = not self.pools and self.loop.chance() < self.strain(self.losses()) / self.STRAIN_MOST
+        if braked and direct.size > 0:  # else the tandem is the ordinary way
             return
         get = self.loop.settings.get
         allowed = get(f"pools:{call.asked.bearer_type}", ()) if self.pools else self.numbers
         ranked = []
         for number, one in self.numbers.items():
+            if number not in allowed or one is direct or not one.has_room(call.asked.width + LEG_MARGIN):
+                continue
             record = self.records.get((call.asked.destination, one.name), self.untried)
-            if (number in allowed and one is not direct and number != self.own_number
-                    and self.loop.now >= record.paused_until and one.has_room(call.asked.width + LEG_MARGIN)):
-                # Among those that score alike, one seen to reach it: many have no group to there.
-                ranked.append((record.score(self.loop.now), not record.reaches, -one.free, number))
+            blind = not record.reaches and number != call.asked.via  # many have no group to there
+            if self.loop.now >= record.paused_until and not (blind and braked):
+                ranked.append((record.score(self.loop.now), blind, -one.free, number))
         call.routes.extend(self.numbers[row[3]] for row in sorted(ranked))
 
     def next_route(self, call: Call) -> None:
@@ -554,17 +551,16 @@
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
             self.block(call)
             return
-        early = route.patience() if self.losses() >= LOST_FEWEST else 0
+        early = route.patience() if self.losses() >= 2 else 0  # one may be chance
         if early > 0 and now + early + self.loop.settings.get("release_time", 0) < call.asked.abandon_at:
             patience = min(patience, early)
         call.out = route
         call.tries += 1
         if route is not call.destination:
             call.tandem_tries += 1
-        self.loop.put(route, Sent(True))
-        for one in (call.destination, self.numbers.get(self.own_number)):
-            if one is not None and one is not route:
-                self.loop.put(one, Sent(False))  # a cold one has work of it all the same
+        own = self.numbers.get(self.own_number, route)
+        for one in dict.fromkeys((route, own, call.destination)):  # all have work of it
+            self.loop.put(one, Sent(one in (route, own)))
         self.loop.actions.append(api.SetUp(call.asked.call, route.name, patience))
 
     def block(self, call: Call) -> None:
@@ -587,11 +583,15 @@
 
     # What became of a route try.
 
+    def settled(self, route: Exchange, note: Settled) -> None:
+        for one in dict.fromkeys((route, self.numbers.get(self.own_number, route))):
+            self.loop.put(one, note)
+
     def stood(self, note: api.Stood) -> None:
         call = self.calls.pop(note.call, None)
         if call is not None:
             route = self.exchange(note.exchange)
-            self.loop.put(route, Settled("stood", note.delay))
+            self.settled(route, Settled("stood", note.delay))
             self.delays.note(self.loop.now, note.delay / self.target)
             self.record(call.asked.destination, route).note(self.loop.now, True, note.delay)
             self.gaps.pop(call.asked.number, None)
@@ -624,14 +624,14 @@
         """What the outcome tells of the route, the exchanges on it and the number."""
         short = note.result == "timeout" and note.delay < self.late  # the caller had no time: tells nothing
         if note.result == "timeout" and not short:
-            self.loop.put(route, Settled("missed", note.delay))
+            self.settled(route, Settled("missed", note.delay))
             self.lost = self.losses() + 1
         elif note.result == "connect_failed":
-            self.loop.put(route, Settled("down"))
+            self.settled(route, Settled("down"))
         elif note.cause == "processor_full" and note.result != "moot":
-            self.loop.put(route, Settled("pressed"))
+            self.settled(route, Settled("pressed"))
         else:
-            self.loop.put(route, Settled())
+            self.settled(route, Settled())
         if note.cause == "beyond_full":
             self.loop.put(call.destination, Settled("pressed", elsewhere=True))
         record = self.record(call.asked.destination, route)
