Callers who leave late count as missed answers; missing ones weigh half for the own window

A caller who left before an answer could be called late still tells nothing, nor does a short time-out.

Harms where callers hang up for their own reasons after a late ring.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -278,7 +278,7 @@
             # Guards against a network that stays jammed by its callers' repeats when what jammed it is over.
             if in_time:
                 self.window = min(self.home.window_most(1), self.window * (1 + self.OWN_STEP))
-            elif note.how in ("stood", "missed") and self.home.strain() > self.home.STRAIN_MOST:
+            elif note.how in ("stood", "missed") and self.home.strain(0.5) > self.home.STRAIN_MOST:
                 self.window = max(1.0, min(self.window, self.out + 1) * (1 - self.OWN_STEP))
             return
         if note.how == "stood":
@@ -362,6 +362,7 @@
     release_at: int = 0           # rule 5: no send before this
     may_have_run: bool = False    # rule 2 for bearer types that are not safe to repeat
     tandem_tries: int = 0
+    sent_at: int = 0
 
 
 class Home(Actor):
@@ -415,9 +416,7 @@
             case api.CallerLeft():
                 gone = self.calls.pop(note.call, None)
                 if gone is not None and gone.out is not None:
-                    self.settled(gone.out, Settled())
-
-    # What is known of the network.
+                    self.unanswered(gone.out, self.loop.now - gone.sent_at)
 
     def exchange(self, name: str) -> Exchange:
         if name not in self.exchanges:
@@ -456,9 +455,9 @@
         self.lost_halved_at += halvings * HALVE_EVERY
         return self.lost
 
-    def strain(self, missing: float = 0.0) -> float:
+    def strain(self, missing_part: float) -> float:
         """The share of late answers: none sees how busy the others are, but all its answers together tell."""
-        late = self.delays.above(self.late / self.target)
+        late, missing = self.delays.above(self.late / self.target), self.losses() * missing_part
         return (late + missing) / max(DelayHistogram.FEWEST, sum(self.delays.bins) + missing)
 
     def figures(self, note: api.Reported | api.TryEnded) -> None:
@@ -473,8 +472,6 @@
     def record(self, destination: int, route: Exchange) -> RouteRecord:
         return self.records.setdefault((destination, route.name), RouteRecord())
 
-    # The way of a call.
-
     def arrive(self, asked: api.CallArrived) -> None:
         destination = self.numbers.get(asked.destination)
         until, _ = self.gaps.get(asked.number, (0, 0))
@@ -517,7 +514,7 @@
         if call.asked.transit:
             return
         # Guards against a network tipped over by tandems: an overflowing call costs a third processor.
-        braked = not self.pools and self.loop.chance() < self.strain(self.losses()) / self.STRAIN_MOST
+        braked = not self.pools and self.loop.chance() < self.strain(1.0) / self.STRAIN_MOST
         if braked and direct.size > 0:  # else the tandem is the ordinary way
             return
         get = self.loop.settings.get
@@ -554,7 +551,7 @@
         early = route.patience() if self.losses() >= 2 else 0  # one may be chance
         if early > 0 and now + early + self.loop.settings.get("release_time", 0) < call.asked.abandon_at:
             patience = min(patience, early)
-        call.out = route
+        call.out, call.sent_at = route, now
         call.tries += 1
         if route is not call.destination:
             call.tandem_tries += 1
@@ -622,16 +619,12 @@
 
     def learn(self, call: Call, route: Exchange, note: api.TryEnded) -> None:
         """What the outcome tells of the route, the exchanges on it and the number."""
-        short = note.result == "timeout" and note.delay < self.late  # the caller had no time: tells nothing
-        if note.result == "timeout" and not short:
-            self.settled(route, Settled("missed", note.delay))
-            self.lost = self.losses() + 1
-        elif note.result == "connect_failed":
-            self.settled(route, Settled("down"))
-        elif note.cause == "processor_full" and note.result != "moot":
-            self.settled(route, Settled("pressed"))
+        told = note.result != "timeout" or note.delay >= self.late
+        full = note.cause == "processor_full" and note.result != "moot"
+        if note.result == "timeout":
+            self.unanswered(route, note.delay)
         else:
-            self.settled(route, Settled())
+            self.settled(route, Settled("down" if note.result == "connect_failed" else "pressed" * full))
         if note.cause == "beyond_full":
             self.loop.put(call.destination, Settled("pressed", elsewhere=True))
         record = self.record(call.asked.destination, route)
@@ -639,9 +632,15 @@
             record.pause(self.loop.now)
         if note.cause == "lines_busy":
             self.widen_gap(call.asked.number)
-        elif note.result not in ("moot", "cancelled") and not short:
+        elif note.result not in ("moot", "cancelled") and told:
             record.note(self.loop.now, False, note.delay)
 
+    def unanswered(self, route: Exchange, waited: int) -> None:
+        """Callers who leave early hide how late answers are; one who left too soon to tell says nothing."""
+        if waited >= self.late:
+            self.lost = self.losses() + 1
+        self.settled(route, Settled("missed" if waited >= self.late else "", waited))
+
     def widen_gap(self, number: str) -> None:
         """Guards against a hot number: its callers' repeats cost every processor on the way, for nothing."""
         now = self.loop.now
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -258,15 +258,22 @@
     assert sent(agent.call(40_000, 99)) == ["x1"]     # and reopens by itself
 
 
-def test_all_set_ups_are_held_while_many_answers_are_late() -> None:
+@pytest.mark.parametrize(("how", "delay", "least", "most"), [
+    ("stood", 50, 39, 39), ("stood", 1400, 1, 8),
+    ("left", 700, 39, 39), ("left", 1400, 1, 15),     # who leaves early tells nothing, who leaves late does
+])
+def test_all_set_ups_are_held_while_many_answers_are_late(how: str, delay: int, least: int,
+                                                          most: int) -> None:
     """One late answer from each of many tells what none of them tells alone."""
-    for delay, least, most in ((50, 39, 39), (1400, 1, 8)):
-        agent = Agent(settings={"agents": 40}, exchanges=40)
-        first = [one for one in range(1, 40) if sent(agent.call(one, one, one))]
-        for one in first:
+    agent = Agent(settings={"agents": 40}, exchanges=40)
+    first = [one for one in range(1, 40) if sent(agent.call(0, one, one))]
+    for one in first:
+        if how == "left":
+            agent.at(delay, api.CallerLeft(one))
+        else:
             agent.stood(2000, one, one, delay)
-        again = [one for one in range(1, 40) if sent(agent.call(2001, 100 + one, one))]
-        assert (len(first), least <= len(again) <= most) == (39, True)
+    again = [one for one in range(1, 40) if sent(agent.call(2001, 100 + one, one))]
+    assert (len(first), least <= len(again) <= most) == (39, True)
 
 
 def test_a_failed_connection_closes_the_window_at_once() -> None:
@@ -282,10 +289,11 @@
     agent = Agent()
     for step in range(8):
         at = 1000 * step
-        if sent(agent.call(at, 2 * step)):
-            if sent(agent.call(at + 100, 2 * step + 1)) and answered:
-                agent.stood(at + 200, 2 * step + 1, 1, 100)
-            agent.ended(at + 900, 2 * step, 1, "timeout", delay=900 * MS)
+        if sent(agent.call(at, 10 * step)):
+            for later in range(1, 5):
+                if sent(agent.call(at + 100 * later, 10 * step + later)) and answered:
+                    agent.stood(at + 100 * later + 50, 10 * step + later, 1, 50)
+            agent.ended(at + 900, 10 * step, 1, "timeout", delay=900 * MS)
     trials = sum(len(sent(agent.call(8000, 100 + one))) for one in range(10))
     assert least <= trials <= most
 
