--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -116,8 +116,7 @@
             actor.receive(actor.inbox.popleft())
 
     def log(self, text: str) -> None:
-        """Where many exchanges are in trouble, one line a span tells as much as all."""
-        if self.now >= self._log_at:
+        if self.now >= self._log_at:  # where many are in trouble, one line a span tells as much as all
             self._log_at = self.now + SPAN_SLOTS * SLOT
             self.actions.append(api.Log(text))
 
@@ -323,10 +322,12 @@
         """Guards rule 4: all agents may take the same step at once, so each keeps to its part of the budget.
 
         Every call has two ends, so half of an exchange's set-ups start there: that half is for its own agent.
+        How it warms is told only for start and end, so half of a steady growth is counted on.
         """
         get = self.loop.settings.get
         carried = self.home.circuits * get("fall_time", 0) / self.home.holding
-        budget: float = get("fall_multiple", 1) * get("cold_from", 1) * carried / 2
+        least, left = get("cold_from", 1), (self.cold_until - self.loop.now) / max(1, get("cold_time", 0))
+        budget: float = get("fall_multiple", 1) * (least + (1 - least) / 2 * (1 - left)) * carried / 2
         share = max(0.01, budget if own else budget / self.home.peers)
         window: float = get("fall_time", 0) / min(1.0, share)  # under one: one in longer
         while self.sent and self.sent[0] <= self.loop.now - window:
@@ -388,10 +389,8 @@
         self.target = min((int(get(f"gos_target:{one}", SECOND)) for one in types), default=SECOND)
         self.revenue = {one: float(get(f"revenue:{one}", 1.0)) for one in types}
         self.mean_revenue = sum(self.revenue.values()) / max(1, len(types)) or 1.0
-        # Back within the GoS target a caller may yet stand in time; later he is work for little.
-        self.come_back = self.target // 3
-        repeat_gap = get("repeat_gap", 0)
-        self.late = min(self.target // 2, repeat_gap or self.target)  # a repeat is work that sets up nothing
+        self.come_back = self.target // 3  # within the GoS target a caller may yet stand in time
+        self.late = min(self.target // 2, get("repeat_gap", 0) or self.target)  # a repeat sets up nothing
         self.holding = max((int(get(f"holding:{one}", SECOND)) for one in types), default=SECOND)
         self.delays = DelayHistogram()
         self.followed = False
