--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -277,7 +277,7 @@
             # Guards against a network that stays jammed by its callers' repeats when what jammed it is over.
             if in_time:
                 self.window = min(self.home.window_most(1), self.window * (1 + self.OWN_STEP))
-            elif note.how in ("stood", "missed") and self.home.strain(0.5) > self.home.STRAIN_MOST:
+            elif note.how in ("stood", "missed") and self.home.strain(0.25) > self.home.STRAIN_MOST:
                 self.window = max(1.0, min(self.window, self.out + 1) * (1 - self.OWN_STEP))
             return
         if note.how == "stood":
