Leg margin of at least the root of the number of agents

Cause: at full size a group has some seven circuits and there are sixty tandems to choose from. A margin of two gives a leg's last circuits to calls that take two of them, and direct calls pay. It could harm where groups are so thin that no leg ever has so many free: then nothing overflows and pairs without a group are blocked.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -384,6 +384,8 @@
         self.gaps: dict[str, tuple[int, int]] = {}  # number: until, length
         self.own_number: int = get("own_number", -1)
         self.peers: int = max(1, get("agents", 1) - 1)
+        # Guards direct calls: with more tandems to choose from and thinner groups, no leg need give its last.
+        self.margin = max(LEG_MARGIN, int(get("agents", 1) ** 0.5))
         self.pools: bool = get("topology", "mesh") == "pools"
         types: tuple[str, ...] = get("bearer_types", ())
         self.target = min((int(get(f"gos_target:{one}", SECOND)) for one in types), default=SECOND)
@@ -516,11 +518,11 @@
         braked = not self.pools and self.loop.chance() < self.strain(1.0) / self.STRAIN_MOST
         if braked and direct.size > 0:  # else the tandem is the ordinary way
             return
-        get = self.loop.settings.get
-        allowed = get(f"pools:{call.asked.bearer_type}", ()) if self.pools else self.numbers
+        key = f"pools:{call.asked.bearer_type}"
+        allowed = self.loop.settings.get(key, ()) if self.pools else self.numbers
         ranked = []
         for number, one in self.numbers.items():
-            if number not in allowed or one is direct or not one.has_room(call.asked.width + LEG_MARGIN):
+            if number not in allowed or one is direct or not one.has_room(call.asked.width + self.margin):
                 continue
             record = self.records.get((call.asked.destination, one.name), self.untried)
             blind = not record.reaches and number != call.asked.via  # many have no group to there
@@ -535,7 +537,7 @@
             if route is call.destination:
                 self.send(call, route)
                 return
-            if call.tandem_tries < MOST_TANDEMS and route.has_room(call.asked.width + LEG_MARGIN):
+            if call.tandem_tries < MOST_TANDEMS and route.has_room(call.asked.width + self.margin):
                 self.loop.put(route, Offer(call, "tandem"))
                 return
         self.block(call)
@@ -642,8 +644,7 @@
 
     def widen_gap(self, number: str) -> None:
         """Guards against a hot number: its callers' repeats cost every processor on the way, for nothing."""
-        now = self.loop.now
-        _, length = self.gaps.get(number, (0, 0))
+        now, (_, length) = self.loop.now, self.gaps.get(number, (0, 0))
         length = min(2 * length, self.GAP_MOST) if length else self.GAP_FIRST
         self.gaps = {one: gap for one, gap in self.gaps.items() if now < gap[0] + self.GAP_MOST}
         self.gaps[number] = (now + length, length)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -29,6 +29,13 @@
     assert answers(actions) == ([] if expected else ["Block"])
 
 
+@pytest.mark.parametrize(("agents", "free", "expected"), [
+    (6, 2, []), (6, 3, ["x2"]), (28, 5, []), (28, 6, ["x2"]), (64, 8, []), (64, 9, ["x2"]),
+])
+def test_the_leg_margin_grows_with_the_tandems_there_are(agents: int, free: int, expected: list[str]) -> None:
+    assert sent(Agent({1: 0, 2: free, 3: 0}, settings={"agents": agents}).call(10, 1)) == expected
+
+
 @pytest.mark.parametrize(("outcomes", "ways", "answer"), [
     ([("full", "turned_back"), ("full", "turned_back")], ["x3", "x2"], ["Block"]),   # two tandems at most
     ([("full", "beyond_full")], ["x3"], ["Block"]),      # the destination's processor: no way round it
