--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,7 +17,7 @@
 
 
 class Agent:
-    """Exchange 0 with groups to all others (1, 2 and 3), named 'x1' and so on, 30 circuits each."""
+    """Exchange 0 with groups to all others, named 'x1' and so on, 30 circuits each."""
 
     def __init__(self, free: dict[int, int] | None = None, seed: int = 7,
                  settings: dict[str, Any] | None = None, exchanges: int = 4) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -247,7 +247,7 @@
             if sent(agent.call(at, at)):
                 times.append(at)
                 agent.stood(at + 10, at, 1)
-    for at in times:                                  # the starts are drawn, so a window may hold twice the mean
+    for at in times:                                  # starts are drawn: a window may hold twice the mean
         grown = (0.3 + 0.35 * (at + 900) / 14_000) / 0.3
         assert sum(at <= other < at + 1000 for other in times) <= 2 * 2.7 * grown + 2
     assert len(times) >= 0.8 * 2.7 * 14
