--- a/benchmarks/module_size.py
+++ b/benchmarks/module_size.py
@@ -1,4 +1,4 @@
-"""Calls a second through `Controller.handle` alone, by the number of exchanges. Direct calls that stand and end.
+"""Calls a second through `Controller.handle` alone, by number of exchanges: direct calls that stand and end.
 
     python benchmarks/module_size.py
 
@@ -18,8 +18,15 @@
 def calls_a_second(exchanges: int, calls: int = 20_000) -> float:
     """A call every millisecond to each exchange in turn; each stands 50 ms later and ends a second later."""
     settings = {
-        "agents": exchanges, "own_number": 0, "step": 5 * MS, "release_time": 300 * MS, "route_try_limit": 6,
-        "bearer_types": ("line",), "gos_target:line": 1500 * MS, "holding:line": 1000 * MS}
+        "agents": exchanges,
+        "own_number": 0,
+        "step": 5 * MS,
+        "release_time": 300 * MS,
+        "route_try_limit": 6,
+        "bearer_types": ("line",),
+        "gos_target:line": 1500 * MS,
+        "holding:line": 1000 * MS,
+    }
     controller = Controller(7, settings)
     entries = tuple(api.Entry(f"x{number}", number, "ready") for number in range(exchanges))
     controller.handle(0, [api.Listed("full", entries)])
@@ -31,9 +38,13 @@
         to = 1 + call % (exchanges - 1)
         actions = controller.handle(now, [api.CallArrived(call, "line", now + 3000 * MS, to, f"n{call}")])
         assert isinstance(actions[0], api.SetUp), actions
-        controller.handle(now + MS // 2, [
-            api.Stood(call, f"x{to}", MS // 2, 0),
-            api.TryEnded(call, f"x{to}", "served", MS // 2, 0, True, load=load)])
+        controller.handle(
+            now + MS // 2,
+            [
+                api.Stood(call, f"x{to}", MS // 2, 0),
+                api.TryEnded(call, f"x{to}", "served", MS // 2, 0, True, load=load),
+            ],
+        )
     return calls / (time.perf_counter() - started)
 
 
--- a/peattrestle/__init__.py
+++ b/peattrestle/__init__.py
@@ -1,1 +1,3 @@
-"""peattrestle: a call controller for a network of exchanges."""
+"""A call router that routes and admits calls in a network of exchanges."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/peattrestle/__main__.py
@@ -0,0 +1,5 @@
+"""python -m peattrestle"""
+
+from peattrestle.cli.main import main
+
+main()
--- /dev/null
+++ b/peattrestle/agent/agent.py
@@ -0,0 +1,773 @@
+"""The call agent: callers' port, links, list, guard and one `Controller`, all on one kernel.
+
+Whatever comes in is turned into the module's events; all events of one turn of the kernel go to the module in
+one batch, and its actions are carried out in their order. docs/protocol.md has the table of both.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from peattrestle import interface as api
+from peattrestle.agent import listing, mapping
+from peattrestle.agent.asker import Asker, Askers
+from peattrestle.agent.calls import OPEN, OVER, STANDS, Call, Counts, RouteTry
+from peattrestle.agent.guard import Guard
+from peattrestle.agent.link import Link, Release
+from peattrestle.control import Controller
+from peattrestle.h248 import package
+from peattrestle.h248.package import BadValue, Outcome, SetUpAsked
+from peattrestle.h248.session import BadPeer, Garbled, Heard, Session
+from peattrestle.h248.text import Action, Command, Request
+from peattrestle.h248.transactions import Answered, Full, New, Stray, Transactions
+from peattrestle.runtime import Coroutine, Event, Kernel, Listener, Lost, Refused, Stream
+from peattrestle.settings.agent import Agent as Settings
+
+Log = Callable[..., None]
+MS = 1_000_000
+OWN_FAULT = Outcome(package.FAILED, text="fault of the agent")
+
+
+class CallAgent:
+    """`log(level, text, **fields)` takes the log lines. `controller` and `guard` are for tests."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: Settings,
+        log: Log,
+        store: listing.Store | None = None,
+        seed: int = 0,
+        controller: Controller | None = None,
+        guard: Guard | None = None,
+    ) -> None:
+        self.kernel, self.settings, self.log = kernel, settings, log
+        self.store = store or listing.Store()
+        rules, limits = settings.rules, settings.limits
+        self.controller = controller or Controller(seed or settings.seed, mapping.module_settings(settings))
+        self.guard = guard or Guard(
+            rules.drain_grace, rules.release_time, rules.fall_time, rules.fall_multiple, rules.cold_time
+        )
+        self.mid = f"<{settings.label}>"
+        self.started_at = kernel.now()
+        # What a run of this agent names is told apart from what an earlier one named by the time it started.
+        self.run_name = f"{self.started_at // MS:x}"
+        self.first = self.started_at // MS % (1 << 31) + 1
+        self.askers = Askers(
+            limits.gateways, lambda: Transactions(self.first, limits.open_requests, limits.kept_replies)
+        )
+        self.own = Asker(f"exchange {settings.number}", Transactions())
+        self.calls: dict[int, Call] = {}
+        self.terminations: dict[str, RouteTry] = {}
+        self.links: dict[str, Link] = {}
+        self.entries: dict[str, listing.Row] = {}
+        self.numbers: dict[int, str] = {}
+        self.groups: dict[int, package.GroupFree] = {}
+        self.counts = Counts()
+        self.connections = 0
+        self.open_for_calls = Event(kernel)
+        self.address = ""
+        self.listener: Listener | None = None
+        self._next_call = 0
+        self._events: list[api.Event] = []
+        self._batching = False
+        self._holding = max(one.holding for one in settings.bearer)
+        self._bearers = {one.label for one in settings.bearer}
+
+    # Start and stop.
+
+    def start(self) -> None:
+        self.kernel.spawn(self.run(), f"agent {self.settings.label}")
+
+    def run(self) -> Coroutine[None]:
+        kept = listing.unpack(self.kernel.now(), self.store.load())
+        if kept is not None:
+            self.listed("cached", kept)
+        self.kernel.spawn(self.follow_list(), "list")
+        listener = self.listener = self.kernel.listen(self.settings.callers)
+        self.address = listener.address
+        yield from self.settle()
+        self.open_for_calls.set()
+        self.log("info", "ready", address=self.address, exchanges=len(self.links))
+        self.kernel.spawn(self.sweep(), "sweep")
+        while True:
+            stream = yield from listener.accept()
+            if self.connections >= self.settings.limits.connections:
+                self.counts.add("connections_shed")
+                stream.close()
+                continue
+            self.connections += 1
+            self.kernel.spawn(self.gateway(stream), f"gateway {stream.peer}")
+
+    def stop(self) -> None:
+        """Gives up listening and links; the callers' connections end with the kernel."""
+        if self.listener is not None:
+            self.listener.close()
+        for link in list(self.links.values()):
+            link.close()
+
+    def settle(self) -> Coroutine[None]:
+        """Until each link's first attempt has ended, but no longer than the setting says."""
+        until = self.kernel.now() + self.settings.links.settle
+        while self.kernel.now() < until:
+            if self.links and all(link.tried for link in self.links.values()):
+                return
+            yield from self.kernel.sleep(5 * MS)
+
+    def sweep(self) -> Coroutine[None]:
+        """Standing calls of a gateway that has been gone for too long are released: nobody else would."""
+        while True:
+            yield from self.kernel.sleep(1000 * MS)
+            old = self.kernel.now() - self.settings.orphan_time
+            for asker in [*self.askers.known.values(), self.own]:
+                if asker.session is None and asker.calls and asker.gone_at < old:
+                    for call in list(asker.calls.values()):
+                        self.counts.add("orphans_released")
+                        self.finish(call)
+
+    # The module.
+
+    def post(self, event: api.Event) -> None:
+        self._events.append(event)
+        if not self._batching:
+            self._batching = True
+            self.kernel.at_turn_end(self.batch)
+
+    def batch(self) -> None:
+        self._batching = False
+        events, self._events = self._events, []
+        for action in self.controller.handle(self.kernel.now(), events):
+            match action:
+                case api.SetUp():
+                    self.set_up(action)
+                case api.Block(number, come_back):
+                    self.answer_number(
+                        number,
+                        Outcome(
+                            package.REFUSED, text="refused", come_back=come_back, cause=self.cause(number)
+                        ),
+                    )
+                case api.Abort(number):
+                    self.answer_number(number, Outcome(package.FAILED, text="failed"))
+                case api.SetTimer(at, token):
+                    self.kernel.at(at, lambda token=token: self.post(api.TimerDue(token)))  # type: ignore[misc]
+                case api.Log(text):
+                    self.log("info", text, origin="module")
+                case api.FollowList():
+                    pass  # the list's source pushes; see mapping.module_settings
+
+    def cause(self, number: int) -> str:
+        """What a tandem tells the exchange before it: who was full, itself or the processor beyond."""
+        call = self.calls.get(number)
+        if call is None or call.asker is not self.own:
+            return ""
+        return "beyond_full" if call.cause == "processor_full" else "turned_back"
+
+    # Calls: in.
+
+    def add(self, asker: Asker, number: int, command: Command, transit: bool) -> None:
+        now = self.kernel.now()
+        try:
+            asked = package.read_add(command)
+            if asked.bearer_type not in self._bearers:
+                raise BadValue(f"ptc/brt: no bearer type '{asked.bearer_type}'")
+        except BadValue as fault:
+            self.counts.add("bad_requests")
+            asker.reply(
+                number,
+                package.command_reply(
+                    number, "$", "Add", command.termination, (package.BAD_VALUE, str(fault).replace('"', "'"))
+                ),
+            )
+            return
+        if asked.termination in asker.calls:
+            self.counts.add("bad_requests")
+            asker.reply(
+                number,
+                package.command_reply(
+                    number,
+                    "$",
+                    "Add",
+                    command.termination,
+                    (package.TWICE, "the termination is in a context"),
+                ),
+            )
+            return
+        self.counts.add("transit_taken" if transit else "taken")
+        if len(self.calls) >= self.settings.limits.calls:
+            self.counts.add("refused_at_bound")
+            self.counts.add("refused")
+            asker.reply(
+                number,
+                package.outcome_text(
+                    number,
+                    asked.termination,
+                    Outcome(
+                        package.REFUSED,
+                        text="as many calls as can be held",
+                        come_back=self.settings.rules.come_back_limit,
+                    ),
+                ),
+            )
+            return
+        self._next_call += 1
+        call = Call(self._next_call, asker, number, asked, now, now + asked.patience)
+        self.calls[call.id] = asker.calls[asked.termination] = call
+        self.guard.arrived(call.id, call.abandon_at)
+        call.overdue = self.kernel.at(
+            call.abandon_at - self.settings.rules.answer_margin // 2, lambda: self.overdue(call)
+        )
+        via = asked.origin if transit else asked.via
+        self.post(
+            api.CallArrived(
+                call.id,
+                asked.bearer_type,
+                call.abandon_at,
+                asked.destination,
+                asked.number,
+                asked.width,
+                via,
+                transit,
+                asked.cut_before,
+                asked.repeat,
+                asked.customer,
+            )
+        )
+
+    def overdue(self, call: Call) -> None:
+        """The last line of rule 1: the module has left a call without an answer. A fault, and answered."""
+        if call.state == OPEN:
+            self.counts.add("overdue")
+            self.log(
+                "error", "the module left a call unanswered", call=call.id, reference=call.asked.reference
+            )
+            self.leave(call, "timeout")
+            self.answer(call, OWN_FAULT)
+
+    def subtract(self, asker: Asker, number: int, action: Action, command: Command) -> None:
+        call = asker.calls.get(command.termination)
+        if call is None:
+            asker.reply(
+                number,
+                package.command_reply(
+                    number,
+                    action.context,
+                    "Subtract",
+                    command.termination,
+                    (package.UNKNOWN_TERMINATION, "no such termination"),
+                ),
+            )
+            return
+        asker.reply(number, package.command_reply(number, str(call.id), "Subtract", command.termination))
+        if call.state == OPEN:
+            self.counts.add("left")
+            self.caller_left(call)
+        else:
+            self.counts.add("released")
+            self.finish(call)
+
+    def caller_left(self, call: Call) -> None:
+        """No answer is owed; a repeat of the request is told that it failed."""
+        self.post(api.CallerLeft(call.id))
+        self.leave(call, "cancelled")
+        call.asker.transactions.answer(
+            call.transaction,
+            package.outcome_text(
+                call.transaction, call.asked.termination, Outcome(package.FAILED, text="the caller left")
+            ),
+        )
+        self.forget(call)
+
+    def leave(self, call: Call, result: str) -> None:
+        """Ends a try that is out, where the call itself is over."""
+        one = call.out
+        if one is not None:
+            self.end_try(one, free=True)
+            self.guard.try_ended(self.kernel.now(), call.id, True)
+            self.post(
+                api.TryEnded(call.id, one.exchange, result, self.kernel.now() - one.sent_at, one.number, True)
+            )
+
+    def finish(self, call: Call) -> None:
+        """Releases a standing call, or drops one that is open."""
+        if call.state == OPEN:
+            self.caller_left(call)
+            return
+        one = call.standing
+        if one is not None:
+            self.end_try(one, free=True)
+        self.forget(call)
+
+    def forget(self, call: Call) -> None:
+        call.state = OVER
+        if call.overdue is not None:
+            call.overdue.cancel()
+        self.calls.pop(call.id, None)
+        call.asker.calls.pop(call.asked.termination, None)
+        self.guard.over(call.id)
+
+    # Calls: out.
+
+    def set_up(self, action: api.SetUp) -> None:
+        now = self.kernel.now()
+        call = self.calls.get(action.call)
+        broken = self.guard.set_up(now, action.call, action.exchange)
+        if broken or call is None:
+            self.counts.add("guard_refusals")
+            self.log(
+                "error", "the guard refused a set-up", rule=broken, call=action.call, exchange=action.exchange
+            )
+            if call is not None and call.out is None:
+                number = call.tries
+                call.tries += 1
+                self.post(api.TryEnded(call.id, action.exchange, "moot", 0, number, False))
+            return
+        asked, link = call.asked, self.links.get(action.exchange)
+        number = call.tries
+        call.tries += 1
+        if link is None:
+            self.unsent(call, number, action.exchange)
+            return
+        one = RouteTry(
+            call,
+            number,
+            action.exchange,
+            link,
+            now,
+            f"t/{self.settings.label}/{self.run_name}/{call.id}/{number}",
+        )
+        row = self.entries[action.exchange]
+        sent = link.set_up(
+            one,
+            SetUpAsked(
+                one.termination,
+                asked.bearer_type,
+                asked.destination,
+                action.patience,
+                asked.number,
+                asked.width,
+                transit=row.number == asked.destination and asked.transit,
+                repeat=asked.repeat,
+                cut_before=asked.cut_before,
+                customer=asked.customer,
+                reference=asked.reference,
+                origin=self.settings.number,
+            ),
+        )
+        if not sent:
+            self.unsent(call, number, action.exchange)
+            return
+        self.counts.add("route_tries")
+        call.out = self.terminations[one.termination] = one
+        one.timer = self.kernel.at(now + action.patience, lambda: self.timed_out(one))
+
+    def unsent(self, call: Call, number: int, exchange: str) -> None:
+        self.guard.try_ended(self.kernel.now(), call.id, False)
+        self.counts.add("unsent")
+        self.post(api.TryEnded(call.id, exchange, "connect_failed", 0, number, False))
+
+    def timed_out(self, one: RouteTry) -> None:
+        if one.state == "out":
+            self.counts.add("timeouts")
+            self.try_over(one, "timeout", free=True, cut_off=True)
+
+    def try_over(
+        self,
+        one: RouteTry,
+        result: str,
+        free: bool,
+        cut_off: bool,
+        outcome: Outcome | None = None,
+        cause: str = "",
+    ) -> None:
+        """The one outcome of a route try that did not stand."""
+        now = self.kernel.now()
+        one.call.cause = cause
+        self.end_try(one, free)
+        self.guard.try_ended(now, one.call.id, cut_off)
+        self.post(
+            api.TryEnded(
+                one.call.id,
+                one.exchange,
+                result,
+                now - one.sent_at,
+                one.number,
+                False,
+                cause,
+                outcome.wait if outcome else 0,
+                (outcome.load if outcome else None) or {},
+            )
+        )
+
+    def end_try(self, one: RouteTry, free: bool) -> None:
+        """`free`: the exchange may hold something for it; a Subtract says that it need not."""
+        if one.timer is not None:
+            one.timer.cancel()
+        if one.state == "out":
+            one.link.transactions.give_up(one.transaction)
+        one.state = "over"
+        if one.call.out is one:
+            one.call.out = None
+        self.terminations.pop(one.termination, None)
+        if free:
+            one.link.release(one.context, one.termination, one.call.id)
+
+    def answer_number(self, number: int, outcome: Outcome) -> None:
+        call = self.calls.get(number)
+        if call is not None and call.state == OPEN:
+            self.answer(call, outcome)
+
+    def answer(self, call: Call, outcome: Outcome) -> None:
+        """The one final answer."""
+        broken = self.guard.answer(self.kernel.now(), call.id)
+        if broken:
+            self.counts.add("guard_refusals")
+            self.log("error", "the guard refused an answer", rule=broken, call=call.id)
+            call.asker.transactions.answer(
+                call.transaction, package.outcome_text(call.transaction, call.asked.termination, OWN_FAULT)
+            )
+        else:
+            kind = {0: "stood", package.REFUSED: "refused"}.get(outcome.code, "failed")
+            self.counts.add(("transit_" if call.asker is self.own else "") + kind)
+            call.asker.reply(
+                call.transaction, package.outcome_text(call.transaction, call.asked.termination, outcome)
+            )
+        if outcome.code or broken:
+            if call.standing is not None:
+                self.end_try(call.standing, free=True)
+            self.forget(call)
+        elif call.overdue is not None:
+            call.overdue.cancel()
+
+    # Links and their news.
+
+    def link_up(self, link: Link) -> None:
+        self.log("info", "link up", exchange=link.exchange, address=link.address)
+        if self.is_own(link.exchange):
+            self.own.session, self.own.stream = link.session, link.stream
+            self.own.transactions = link.transactions
+
+    def is_own(self, exchange: str) -> bool:
+        return self.numbers.get(self.settings.number) == exchange
+
+    def link_lost(self, link: Link, tries: list[RouteTry], why: str) -> None:
+        self.log("warning", "link lost", exchange=link.exchange, why=why, route_tries=len(tries))
+        for one in tries:
+            if one.state == "out":
+                self.counts.add("resets")
+                self.try_over(one, "reset", free=True, cut_off=True)
+        if self.is_own(link.exchange):
+            self.own.session = self.own.stream = None
+            self.own.gone_at = self.kernel.now()
+            for call in [one for one in self.own.calls.values() if one.state == OPEN]:
+                self.counts.add("transit_left")
+                self.caller_left(call)
+
+    def link_heard(self, link: Link, heard: Heard) -> None:
+        match heard:
+            case Answered(RouteTry() as one, reply):
+                self.outcome(one, package.read_outcome(reply))
+            case Answered(Release() as release, reply):
+                link.released(release)
+                found = package.first_command(reply.actions)
+                if found is not None:
+                    statistics = found[1].find("Statistics")
+                    load = package.read_load(statistics.items or ()) if statistics else {}
+                    if load:
+                        self.post(api.TryEnded(release.call, link.exchange, "served", 0, 0, True, load=load))
+            case New(request):
+                self.exchange_asks(link, request.id, request.actions)
+            case Stray(number):
+                self.counts.add("stray_replies")
+                self.log(
+                    "debug", "a reply to nothing that is open", exchange=link.exchange, transaction=number
+                )
+            case Garbled(fault):
+                self.counts.add("garbled")
+                self.log("warning", "garbled message", exchange=link.exchange, fault=str(fault))
+            case _:
+                pass
+
+    def outcome(self, one: RouteTry, outcome: Outcome) -> None:
+        call = one.call
+        if one.state != "out":
+            return
+        if outcome.code:
+            result, cause = mapping.result_of(outcome)
+            self.try_over(one, result, free=False, cut_off=False, outcome=outcome, cause=cause)
+            return
+        now = self.kernel.now()
+        if one.timer is not None:
+            one.timer.cancel()
+        one.state, one.context = "stands", outcome.context
+        call.out, call.standing, call.state = None, one, STANDS
+        self.guard.try_ended(now, call.id, False)
+        self.post(api.Stood(call.id, one.exchange, now - one.sent_at, one.number))
+        if outcome.load:
+            self.post(api.Reported(one.exchange, "served", now - one.sent_at, outcome.load))
+        self.answer(call, Outcome(0, str(call.id)))
+
+    def exchange_asks(self, link: Link, number: int, actions: list[Action]) -> None:
+        """Requests of an exchange: group sizes, cuts; from the own one also calls in transit."""
+        session = link.session
+        if session is None:
+            return
+        for action in actions:
+            for command in action.commands:
+                if command.name == "Add" and self.is_own(link.exchange):
+                    self.own.session, self.own.transactions = session, link.transactions
+                    self.add(self.own, number, command, transit=True)
+                    return
+                if command.name == "Subtract" and self.is_own(link.exchange):
+                    self.subtract(self.own, number, action, command)
+                    return
+                if command.name == "Notify":
+                    self.notified(link, command)
+                elif command.name not in ("ServiceChange", "AuditValue"):
+                    session.reply(
+                        number,
+                        package.command_reply(
+                            number,
+                            action.context,
+                            command.name,
+                            command.termination,
+                            (443, "not for an agent"),
+                        ),
+                    )
+                    return
+        first = actions[0].commands[0]
+        session.reply(
+            number, package.command_reply(number, actions[0].context, first.name, first.termination)
+        )
+
+    def notified(self, link: Link, command: Command) -> None:
+        try:
+            for group in package.read_groups(command):
+                self.groups[group.to] = group
+                self.report_group(group)
+        except BadValue as fault:
+            self.log("warning", "bad group report", exchange=link.exchange, fault=str(fault))
+        if package.is_cut(command):
+            one = self.terminations.get(command.termination)
+            if one is None:
+                return
+            if one.state == "out":
+                self.try_over(one, "reset", free=True, cut_off=True)
+            elif one.state == "stands":
+                call = one.call
+                self.counts.add("cut")
+                self.end_try(one, free=False)
+                self.forget(call)
+                self.post(api.TryEnded(call.id, one.exchange, "reset", 0, one.number, True))
+                call.asker.tell(
+                    lambda number: package.notify_text(
+                        number, str(call.id), call.asked.termination, ["ptc/cut"]
+                    )
+                )
+
+    def report_group(self, group: package.GroupFree) -> None:
+        exchange = self.numbers.get(group.to)
+        if exchange is not None and group.to != self.settings.number:
+            self.post(api.Reported(exchange, "served", 0, {"free": group.free, "size": group.size}))
+            circuits = sum(one.size for one in self.groups.values())
+            self.guard.carried = circuits / self._holding
+
+    # Gateways.
+
+    def gateway(self, stream: Stream) -> Coroutine[None]:
+        limits, asker = self.settings.limits, None
+
+        def bind(mid: str) -> Transactions | None:
+            nonlocal asker
+            asker = self.askers.get(mid)
+            if asker is None:
+                raise BadPeer(f"{limits.gateways} gateways are known already")
+            if asker.stream is not None:
+                asker.stream.close()  # a gateway that comes again has given its old connection up
+            asker.session, asker.stream = session, stream
+            return asker.transactions
+
+        session = Session(self.mid, Transactions(), stream.write, limits.message, bind)
+        why = "closed"
+        try:
+            while data := (yield from stream.read()):
+                for heard in session.feed(self.kernel.now(), data):
+                    assert asker is not None or isinstance(heard, Garbled)
+                    if isinstance(heard, New) and asker is not None:
+                        self.gateway_asks(asker, heard.request.id, heard.request.actions)
+                    elif isinstance(heard, Garbled):
+                        self.counts.add("garbled")
+                        self.log("warning", "garbled message", gateway=stream.peer, fault=str(heard.fault))
+                if stream.unsent > limits.unread:
+                    why = f"it left {stream.unsent} bytes unread"
+                    stream.abort()
+                    break
+        except Lost as fault:
+            why = str(fault)
+        except (BadPeer, Full) as fault:
+            why = f"bad peer: {fault}"
+            self.counts.add("bad_peers")
+        finally:
+            self.connections -= 1
+            stream.close()
+            if asker is not None and asker.stream is stream:
+                asker.session = asker.stream = None
+                asker.gone_at = self.kernel.now()
+                for call in [one for one in asker.calls.values() if one.state == OPEN]:
+                    self.counts.add("left")
+                    self.caller_left(call)
+            self.log("info", "gateway gone", gateway=session.peer or stream.peer, why=why)
+
+    def gateway_asks(self, asker: Asker, number: int, actions: list[Action]) -> None:
+        first = actions[0].commands[0]
+        if len(actions) > 1 or len(actions[0].commands) > 1:
+            asker.reply(number, f'Reply={number}{{Error=421{{"one command in a transaction"}}}}')
+        elif first.name == "Add":
+            if actions[0].context != "$":
+                asker.reply(
+                    number,
+                    package.command_reply(
+                        number,
+                        actions[0].context,
+                        "Add",
+                        first.termination,
+                        (package.UNKNOWN_CONTEXT, "a call wants context $"),
+                    ),
+                )
+            else:
+                self.add(asker, number, first, transit=False)
+        elif first.name == "Subtract":
+            self.subtract(asker, number, actions[0], first)
+        elif first.name == "ServiceChange":
+            self.gateway_changes(asker, number, first)
+        elif first.name in ("AuditValue", "Notify"):
+            asker.reply(
+                number, package.command_reply(number, actions[0].context, first.name, first.termination)
+            )
+        else:
+            asker.reply(
+                number,
+                package.command_reply(
+                    number, actions[0].context, first.name, first.termination, (443, "not in the profile")
+                ),
+            )
+
+    def gateway_changes(self, asker: Asker, number: int, command: Command) -> None:
+        try:
+            change = package.read_service_change(command)
+        except BadValue as fault:
+            asker.reply(
+                number,
+                package.command_reply(
+                    number, "-", "ServiceChange", command.termination, (package.BAD_VALUE, str(fault))
+                ),
+            )
+            return
+        if change.method == "Restart":
+            for call in list(asker.calls.values()):  # it has forgotten them
+                self.counts.add("orphans_released")
+                self.finish(call)
+            asker.transactions.restarted()
+            asker.transactions.receive(self.kernel.now(), Request(number, []))
+        asker.reply(
+            number,
+            package.command_reply(
+                number,
+                "-",
+                "ServiceChange",
+                command.termination,
+                inside=f"Services{{Profile={package.PROFILE},ptc/run={self.run_name}}}",
+            ),
+        )
+
+    # The list.
+
+    def follow_list(self) -> Coroutine[None]:
+        links, draw = self.settings.links, self.kernel.chance("list")
+        wait = links.retry_least
+        while True:
+            why = ""
+            try:
+                stream = yield from self.kernel.connect(
+                    self.settings.list, links.dial_timeout, self.settings.label
+                )
+                stream.write(f"{self.settings.label}\n".encode())
+                held = b""
+                while True:
+                    data = yield from stream.read()
+                    if not data:
+                        raise Lost("the list's source closed")
+                    *lines, held = (held + data).split(b"\n")
+                    if len(held) > listing.MOST_LINE:
+                        raise listing.BadLine(f"a line longer than {listing.MOST_LINE} bytes")
+                    for line in lines:
+                        read = listing.read_line(line)
+                        self.listed(read.form, read.entries)
+                        wait = links.retry_least
+            except (Refused, Lost) as fault:
+                why = str(fault)
+            except listing.BadLine as fault:
+                why = f"bad line: {fault}"
+                stream.close()
+            self.log("warning", "no list", why=why)
+            yield from self.kernel.sleep(round(wait * (1 + draw.random()) / 2))
+            wait = min(2 * wait, links.retry_most)
+
+    def listed(self, form: str, rows: list[listing.Row]) -> None:
+        now = self.kernel.now()
+        if form == "failed":
+            self.post(api.Listed("failed"))
+            return
+        if form in ("full", "cached"):
+            present = {row.exchange for row in rows}
+            for name, row in self.entries.items():
+                if name not in present and row.state != "gone":
+                    row.state = "gone"
+                    self.guard.told(now, name, "gone", 0)
+        entries = []
+        for row in rows:
+            started = now - row.age if row.age >= 0 else 0
+            entries.append(api.Entry(row.exchange, row.number, row.state, started, row.zone))
+            self.entries[row.exchange] = row
+            if row.state == "ready" or row.number not in self.numbers:
+                self.numbers[row.number] = row.exchange
+            self.guard.told(now, row.exchange, row.state, started)
+        self.post(api.Listed(form, tuple(entries)))
+        for name, row in list(self.entries.items()):
+            link = self.links.get(name)
+            if row.state == "gone":
+                # Its link stays while calls stand there or releases are owed; the sweep of links ends it.
+                if link is not None and self.numbers.get(row.number) != name:
+                    self.drop_link(name, link)
+            elif row.address and link is None:
+                self.links[name] = Link(
+                    self.kernel,
+                    self.settings,
+                    self,
+                    name,
+                    row.address,
+                    self.mid,
+                    self.log,
+                    self.first,
+                    self.run_name,
+                )
+            elif link is not None and row.address and link.address != row.address:
+                link.address = row.address
+        for row in rows:
+            if row.number in self.groups:
+                self.report_group(self.groups[row.number])
+        if form != "cached":
+            self.keep_list(now)
+
+    def drop_link(self, name: str, link: Link) -> None:
+        if not any(one.link is link for one in self.terminations.values()):
+            link.close()
+            del self.links[name]
+            self.entries.pop(name, None)
+
+    def keep_list(self, now: int) -> None:
+        rows = [row for row in self.entries.values() if row.state != "gone"]
+        try:
+            self.store.save(listing.pack(now, rows))
+        except OSError as fault:
+            self.log("warning", "the list was not kept", why=str(fault))
--- a/peattrestle/h248/text.py
+++ b/peattrestle/h248/text.py
@@ -21,54 +21,125 @@
 VERSION = 1
 
 _SPACE = r"(?:[ \t\r\n]++|;[^\r\n]*+[\r\n])*+"
-_HEAD = re.compile(_SPACE + r"(?:MEGACO|!)/(\d{1,2})(?=[ \t\r\n;])" + _SPACE +
-                   r"(\[[0-9A-Fa-f.:]{1,40}\](?::\d{1,5})?|<[A-Za-z0-9.-]{1,64}>(?::\d{1,5})?"
-                   r"|[A-Za-z*$][A-Za-z0-9_/.*$@-]{0,63})(?=[ \t\r\n;])", re.IGNORECASE)
+_HEAD = re.compile(
+    _SPACE
+    + r"(?:MEGACO|!)/(\d{1,2})(?=[ \t\r\n;])"
+    + _SPACE
+    + r"(\[[0-9A-Fa-f.:]{1,40}\](?::\d{1,5})?|<[A-Za-z0-9.-]{1,64}>(?::\d{1,5})?"
+    r"|[A-Za-z*$][A-Za-z0-9_/.*$@-]{0,63})(?=[ \t\r\n;])",
+    re.IGNORECASE,
+)
 # A word, a bracketed value, a quoted string, a mark; last, anything else, so that nothing is passed over.
-_TOKEN = re.compile(_SPACE + r"""([^\s{},=<>#;"\[\]]++|[{},=<>#]|"[^"\x00-\x08\x0b\x0c\x0e-\x1f]*+\""""
-                    r"""|\[[^\[\]{}"\s]*+\]|\S)""")
+_TOKEN = re.compile(
+    _SPACE + r"""([^\s{},=<>#;"\[\]]++|[{},=<>#]|"[^"\x00-\x08\x0b\x0c\x0e-\x1f]*+\""""
+    r"""|\[[^\[\]{}"\s]*+\]|\S)"""
+)
 _SAFE = re.compile(r"[A-Za-z0-9+\-&!_/'?@^`~*$\\()%|.:]+")
 _MARKS = frozenset('{},=<>#"[];')
 _UNQUOTABLE = re.compile(r'["\x00-\x08\x0b\x0c\x0e-\x1f]')
 
 # Long token: short token, of H.248.1 Annex B.2.
 TOKENS = {
-    "Add": "A", "Audit": "AT", "AuditCapability": "AC", "AuditValue": "AV", "Authentication": "AU",
-    "Buffer": "BF", "Context": "C", "ContextAudit": "CA", "Delay": "DL", "DigitMap": "DM", "Emergency": "EG",
-    "Error": "ER", "EventBuffer": "EB", "Events": "E", "ImmAckRequired": "IA", "Local": "L",
-    "LocalControl": "O", "Media": "M", "Method": "MT", "MgcIdToTry": "MG", "Mode": "MO", "Modify": "MF",
-    "Move": "MV", "Notify": "N", "ObservedEvents": "OE", "Packages": "PG", "Pending": "PN", "Priority": "PR",
-    "Profile": "PF", "Reason": "RE", "Remote": "R", "Reply": "P", "ReservedGroup": "RG",
-    "ReservedValue": "RV", "ServiceChange": "SC", "ServiceChangeAddress": "AD", "ServiceStates": "SI",
-    "Services": "SV", "Signals": "SG", "Statistics": "SA", "Stream": "ST", "Subtract": "S",
-    "TerminationState": "TS", "Topology": "TP", "Transaction": "T", "TransactionResponseAck": "K",
+    "Add": "A",
+    "Audit": "AT",
+    "AuditCapability": "AC",
+    "AuditValue": "AV",
+    "Authentication": "AU",
+    "Buffer": "BF",
+    "Context": "C",
+    "ContextAudit": "CA",
+    "Delay": "DL",
+    "DigitMap": "DM",
+    "Emergency": "EG",
+    "Error": "ER",
+    "EventBuffer": "EB",
+    "Events": "E",
+    "ImmAckRequired": "IA",
+    "Local": "L",
+    "LocalControl": "O",
+    "Media": "M",
+    "Method": "MT",
+    "MgcIdToTry": "MG",
+    "Mode": "MO",
+    "Modify": "MF",
+    "Move": "MV",
+    "Notify": "N",
+    "ObservedEvents": "OE",
+    "Packages": "PG",
+    "Pending": "PN",
+    "Priority": "PR",
+    "Profile": "PF",
+    "Reason": "RE",
+    "Remote": "R",
+    "Reply": "P",
+    "ReservedGroup": "RG",
+    "ReservedValue": "RV",
+    "ServiceChange": "SC",
+    "ServiceChangeAddress": "AD",
+    "ServiceStates": "SI",
+    "Services": "SV",
+    "Signals": "SG",
+    "Statistics": "SA",
+    "Stream": "ST",
+    "Subtract": "S",
+    "TerminationState": "TS",
+    "Topology": "TP",
+    "Transaction": "T",
+    "TransactionResponseAck": "K",
     "Version": "V",
 }
 _CANON = {word.lower(): long for long, short in TOKENS.items() for word in (long, short)}
-COMMANDS = frozenset({"Add", "Modify", "Move", "Subtract", "Notify", "ServiceChange", "AuditValue",
-                      "AuditCapability"})
+COMMANDS = frozenset(
+    {"Add", "Modify", "Move", "Subtract", "Notify", "ServiceChange", "AuditValue", "AuditCapability"}
+)
 # Descriptor: what may stand inside. 'parameters' are package items, names with or without a value.
 DESCRIPTORS: dict[str, frozenset[str] | str] = {
     "Media": frozenset({"LocalControl", "TerminationState", "Stream"}),
     "Stream": frozenset({"LocalControl"}),
-    "LocalControl": "parameters", "TerminationState": "parameters", "Events": "parameters",
-    "Signals": "parameters", "ObservedEvents": "parameters", "Statistics": "parameters",
-    "Packages": "parameters", "Services": "parameters", "Audit": "names", "Error": "text",
+    "LocalControl": "parameters",
+    "TerminationState": "parameters",
+    "Events": "parameters",
+    "Signals": "parameters",
+    "ObservedEvents": "parameters",
+    "Statistics": "parameters",
+    "Packages": "parameters",
+    "Services": "parameters",
+    "Audit": "names",
+    "Error": "text",
     "EventBuffer": "parameters",
 }
 # Where a descriptor may stand: in a request's command, in a reply's, or both.
-IN_REQUEST = frozenset({"Media", "Events", "Signals", "Audit", "ObservedEvents", "Services", "EventBuffer",
-                        "Statistics"})
-IN_REPLY = frozenset({"Media", "Events", "Signals", "Statistics", "Packages", "ObservedEvents", "Services",
-                      "Error", "EventBuffer"})
+IN_REQUEST = frozenset(
+    {"Media", "Events", "Signals", "Audit", "ObservedEvents", "Services", "EventBuffer", "Statistics"}
+)
+IN_REPLY = frozenset(
+    {
+        "Media",
+        "Events",
+        "Signals",
+        "Statistics",
+        "Packages",
+        "ObservedEvents",
+        "Services",
+        "Error",
+        "EventBuffer",
+    }
+)
 NEEDS_VALUE = frozenset({"Error", "ObservedEvents"})
 
 
 class Malformed(Exception):
     """Not a message of the profile. `code` is the published error code; positions count from 1."""
 
-    def __init__(self, code: int, expected: str, found: str, line: int = 1, column: int = 1,
-                 transaction: int | None = None) -> None:
+    def __init__(
+        self,
+        code: int,
+        expected: str,
+        found: str,
+        line: int = 1,
+        column: int = 1,
+        transaction: int | None = None,
+    ) -> None:
         super().__init__(f"line {line}, column {column}: expected {expected}, found {found}")
         self.code, self.expected, self.found, self.line, self.column = code, expected, found, line, column
         self.transaction = transaction
@@ -79,16 +150,21 @@
 
     __slots__ = ("name", "value", "items", "at")
 
-    def __init__(self, name: str, value: str | None = None, items: list[Item] | None = None,
-                 at: int = 0) -> None:
+    def __init__(
+        self, name: str, value: str | None = None, items: list[Item] | None = None, at: int = 0
+    ) -> None:
         self.name, self.value, self.items, self.at = name, value, items, at
 
     def __repr__(self) -> str:
         return f"Item({self.name!r}, {self.value!r}, {self.items!r})"
 
     def __eq__(self, other: object) -> bool:
-        return (isinstance(other, Item) and self.name == other.name and self.value == other.value
-                and self.items == other.items)
+        return (
+            isinstance(other, Item)
+            and self.name == other.name
+            and self.value == other.value
+            and self.items == other.items
+        )
 
     __hash__ = None  # type: ignore[assignment]
 
@@ -318,8 +394,9 @@
     if _CANON.get(item.name.lower()) != "Context" or not item.value:
         raise reader.fault(422, "a context", item.at)
     value = item.value
-    if value not in ("$", "-", "*") and not (value.isascii() and value.isdigit() and len(value) <= 10
-                                             and int(value) < 1 << 32):
+    if value not in ("$", "-", "*") and not (
+        value.isascii() and value.isdigit() and len(value) <= 10 and int(value) < 1 << 32
+    ):
         raise reader.fault(422, "a context's number, '$', '-' or '*'", item.at + 2)
     if not item.items and not reply:
         raise reader.fault(422, "a command", item.at + 3)
@@ -341,8 +418,15 @@
         ranges = []
         for one in inside or ():
             low, dash, high = one.name.partition("-")
-            if (not low.isascii() or not low.isdigit() or dash and not (high.isascii() and high.isdigit())
-                    or len(one.name) > 21 or one.value is not None or one.items is not None):
+            if (
+                not low.isascii()
+                or not low.isdigit()
+                or dash
+                and not (high.isascii() and high.isdigit())
+                or len(one.name) > 21
+                or one.value is not None
+                or one.items is not None
+            ):
                 raise reader.fault(403, "a transaction id or a range of them", one.at)
             first, last = int(low), int(high) if dash else int(low)
             if not 0 < first <= last < 1 << 32:
@@ -390,7 +474,7 @@
     try:
         text = data.decode("utf-8")
     except UnicodeDecodeError as fault:
-        before = data[:fault.start].decode("utf-8")
+        before = data[: fault.start].decode("utf-8")
         raise fault_at(before, len(before), 400, "UTF-8", f"byte {data[fault.start]}") from None
     head = _HEAD.match(text)
     if head is None:
@@ -436,6 +520,7 @@
 def _write_action(action: Action, short: bool) -> str:
     def word(name: str) -> str:
         return TOKENS[name] if short else name
+
     inside = []
     for command in action.commands:
         out = ("O-" if command.optional else "") + ("W-" if command.wildcard else "") + word(command.name)
@@ -452,14 +537,18 @@
 def write_part(part: Part, short: bool = False) -> str:
     def word(name: str) -> str:
         return TOKENS[name] if short else name
+
     match part:
         case Request():
             inside = ",".join(_write_action(one, short) for one in part.actions)
             return f"{word('Transaction')}={part.id}{{{inside}}}"
         case Reply():
             rows = [word("ImmAckRequired")] if part.ack_required else []
-            rows += [error_text(part.error)] if part.error else [
-                _write_action(one, short) for one in part.actions]
+            rows += (
+                [error_text(part.error)]
+                if part.error
+                else [_write_action(one, short) for one in part.actions]
+            )
             return f"{word('Reply')}={part.id}{{{','.join(rows)}}}"
         case Pending():
             return f"{word('Pending')}={part.id}{{}}"
--- a/peattrestle/h248/tpkt.py
+++ b/peattrestle/h248/tpkt.py
@@ -38,7 +38,7 @@
                 raise BadFrame(f"a frame of {length} bytes; expected {HEAD + 1} to {self.most}")
             if len(held) - at < length:
                 break
-            out.append(bytes(held[at + HEAD:at + length]))
+            out.append(bytes(held[at + HEAD : at + length]))
             at += length
         del held[:at]
         return out
--- a/peattrestle/runtime/__init__.py
+++ b/peattrestle/runtime/__init__.py
@@ -16,5 +16,18 @@
     Waiter,
 )
 
-__all__ = ["Cancelled", "Coroutine", "Event", "Kernel", "Listener", "Lost", "Queue", "Refused", "Stream",
-           "Task", "TimedOut", "Timer", "Waiter"]
+__all__ = [
+    "Cancelled",
+    "Coroutine",
+    "Event",
+    "Kernel",
+    "Listener",
+    "Lost",
+    "Queue",
+    "Refused",
+    "Stream",
+    "Task",
+    "TimedOut",
+    "Timer",
+    "Waiter",
+]
--- a/peattrestle/runtime/epoll.py
+++ b/peattrestle/runtime/epoll.py
@@ -6,10 +6,12 @@
 import errno
 import os
 import select
+import signal
 import socket
 import struct
 import time
 from collections.abc import Callable
+from typing import Any
 
 from peattrestle.runtime.kernel import MS, SECOND, Coroutine, Kernel, Listener, Lost, Refused, Stream, Waiter
 
@@ -27,12 +29,25 @@
     return host, int(port)
 
 
+class _Plain:
+    """A descriptor that is somebody else's to close."""
+
+    def __init__(self, fd: int) -> None:
+        self.fd = fd
+
+    def fileno(self) -> int:
+        return self.fd
+
+    def close(self) -> None:
+        pass
+
+
 class Handle:
     """One descriptor in the epoll set, with what it is interested in."""
 
     __slots__ = ("kernel", "sock", "fd", "mask", "wake")
 
-    def __init__(self, kernel: EpollKernel, sock: socket.socket, wake: Callable[[int], None]) -> None:
+    def __init__(self, kernel: EpollKernel, sock: Any, wake: Callable[[int], None]) -> None:
         self.kernel, self.sock, self.fd, self.mask, self.wake = kernel, sock, sock.fileno(), 0, wake
 
     def want(self, mask: int) -> None:
@@ -86,7 +101,8 @@
             if self.handle.fd < 0:
                 raise Lost(self._lost or "closed here")
             try:
-                return self.handle.sock.recv(most)
+                data: bytes = self.handle.sock.recv(most)
+                return data
             except BlockingIOError:
                 pass
             except OSError as fault:
@@ -318,6 +334,29 @@
                     handle.wake(mask)
             self.due(self.now())
 
+    def watch(self, fd: int, action: Callable[[], None]) -> None:
+        """Calls `action` each time `fd` has something to read, its end among it."""
+        watched = Handle(self, _Plain(fd), lambda mask: action())
+        watched.want(select.EPOLLIN)
+
+    def on_signals(self, numbers: tuple[int, ...], action: Callable[[int], None]) -> None:
+        """Calls `action` in the loop, not in the middle of something, when one of the signals has come."""
+        here, there = socket.socketpair()
+        here.setblocking(False)
+        there.setblocking(False)
+        self._signal_ends = (here, there)
+        signal.set_wakeup_fd(there.fileno(), warn_on_full_buffer=False)
+        for number in numbers:
+            signal.signal(number, lambda *_: None)
+
+        def came() -> None:
+            with contextlib.suppress(BlockingIOError):
+                for number in here.recv(64):
+                    if number in numbers:
+                        action(number)
+
+        self.watch(here.fileno(), came)
+
     def close(self) -> None:
         super().close()
         for handle in list(self.handles.values()):
--- a/peattrestle/runtime/kernel.py
+++ b/peattrestle/runtime/kernel.py
@@ -65,8 +65,18 @@
 class Task(Generic[T]):
     """A coroutine under way. `watch` names its fate when it raises: kept, or handed to the kernel."""
 
-    __slots__ = ("kernel", "name", "body", "waiter", "done", "result", "error", "ended", "cancelling",
-                 "watch")
+    __slots__ = (
+        "kernel",
+        "name",
+        "body",
+        "waiter",
+        "done",
+        "result",
+        "error",
+        "ended",
+        "cancelling",
+        "watch",
+    )
 
     def __init__(self, kernel: Kernel, body: Coroutine[T], name: str, watch: bool) -> None:
         self.kernel, self.body, self.name, self.watch = kernel, body, name, watch
--- a/peattrestle/runtime/virtual.py
+++ b/peattrestle/runtime/virtual.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from peattrestle.runtime.kernel import MS, Coroutine, Kernel, Listener, Lost, Refused, Stream, Waiter
+from peattrestle.runtime.kernel import MS, Coroutine, Kernel, Listener, Lost, Refused, Stream, Timer, Waiter
 
 
 @dataclass(slots=True)
@@ -41,7 +41,7 @@
         self._under_way = 0
         self._arrived: deque[bytes] = deque()
         self._unread = 0
-        self._ended = False           # the peer's side is closed and all of it has arrived
+        self._ended = False  # the peer's side is closed and all of it has arrived
         self._reader: Waiter | None = None
         self._drainers: list[tuple[int, Waiter]] = []
         self._finished = self._closed = False
@@ -86,6 +86,7 @@
                 self.kernel.at(self._last_arrival, arrive)
             else:
                 action()
+
         self.kernel.at(at, arrive)
 
     def _deliver(self, piece: bytes) -> None:
@@ -188,6 +189,7 @@
     def __init__(self, kernel: VirtualKernel, address: str, backlog: int) -> None:
         self.kernel, self.address, self.backlog = kernel, address, backlog
         self.line: deque[VirtualStream] = deque()
+        self.adopt: Callable[[VirtualStream], None] = lambda stream: None
         self._waiter: Waiter | None = None
         self.shed = 0
         self._closed = False
@@ -207,7 +209,9 @@
                 yield waiter
             finally:
                 self._waiter = None
-        return self.line.popleft()
+        stream = self.line.popleft()
+        self.adopt(stream)
+        return stream
 
     def close(self) -> None:
         self._closed = True
@@ -270,3 +274,60 @@
             self._now = max(self._now, at)
             self.steps += 1
             self.due(self._now)
+
+
+class VirtualProcess(Kernel):
+    """A process on a virtual kernel: the same time and network, and an end that it does not see coming.
+
+    After `kill` nothing of it runs any more: tasks stop where they are, timers never fire, connections are
+    reset, ports are free.
+    """
+
+    def __init__(self, parent: VirtualKernel, seed: int) -> None:
+        super().__init__(seed)
+        self.parent = parent
+        self.alive = True
+        self.ready = parent.ready
+        self._streams: list[VirtualStream] = []
+        self._listeners: list[VirtualListener] = []
+
+    def now(self) -> int:
+        return self.parent.now()
+
+    def at(self, at: int, action: Callable[[], None]) -> Timer:
+        def fire() -> None:
+            if self.alive:
+                action()
+
+        return self.parent.at(at, fire)
+
+    def at_turn_end(self, action: Callable[[], None]) -> None:
+        def act() -> None:
+            if self.alive:
+                action()
+
+        self.parent.at_turn_end(act)
+
+    def listen(self, address: str, backlog: int = 512) -> VirtualListener:
+        listener = self.parent.listen(address, backlog)
+        listener.adopt = self._streams.append
+        self._listeners.append(listener)
+        return listener
+
+    def connect(self, address: str, within: int, source: str = "") -> Coroutine[Stream]:
+        stream = yield from self.parent.connect(address, within, source)
+        assert isinstance(stream, VirtualStream)
+        self._streams = [one for one in self._streams if not one._closed]
+        self._streams.append(stream)
+        return stream
+
+    def kill(self) -> None:
+        self.alive = False
+        for listener in self._listeners:
+            listener.close()
+        for stream in self._streams:
+            stream.abort()
+        for task in list(self.tasks):
+            task.done = True
+            task.body.close()  # its last words reach neither a stream nor a timer
+        self.tasks.clear()
