--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 from peattrestle import interface as api
@@ -18,7 +19,7 @@
 from peattrestle.h248 import package
 from peattrestle.h248.package import BadValue, Outcome, SetUpAsked
 from peattrestle.h248.session import BadPeer, Garbled, Heard, Session
-from peattrestle.h248.text import Action, Command, Request
+from peattrestle.h248.text import Action, Command, Reply, Request
 from peattrestle.h248.transactions import Answered, Full, New, Stray, Transactions
 from peattrestle.runtime import Coroutine, Event, Kernel, Listener, Lost, Refused, Stream
 from peattrestle.settings.agent import Agent as Settings
@@ -259,11 +260,12 @@
             )
             return
         asker.reply(number, package.command_reply(number, str(call.id), "Subtract", command.termination))
+        prefix = "transit_" if asker is self.own else ""
         if call.state == OPEN:
-            self.counts.add("left")
+            self.counts.add(prefix + "left")
             self.caller_left(call)
         else:
-            self.counts.add("released")
+            self.counts.add(prefix + "released")
             self.finish(call)
 
     def caller_left(self, call: Call) -> None:
@@ -447,6 +449,32 @@
             self.own.session, self.own.stream = link.session, link.stream
             self.own.transactions = link.transactions
 
+    def greeted(self, link: Link, reply: Reply) -> None:
+        """An exchange says itself how long it has run: sooner than the list does, which is seconds late."""
+        found = package.first_command(reply.actions)
+        services = found[1].find("Services") if found is not None else None
+        age = services.find("ptc/age") if services is not None else None
+        row = self.entries.get(link.exchange)
+        if age is None or row is None or re.fullmatch("[0-9]{1,18}", age.value or "") is None:
+            return
+        now = self.kernel.now()
+        row.age = int(age.value or 0)
+        self.guard.told(now, row.exchange, row.state, now - row.age)
+        entry = api.Entry(row.exchange, row.number, row.state, now - row.age, row.zone)
+        self.post(api.Listed("delta", (entry,)))
+        self.forgotten(link, now - row.age)
+
+    def forgotten(self, link: Link, started_at: int) -> None:
+        """An exchange that started anew holds nothing of before: calls through it are cut, and the transit
+        calls that the own one had asked for are nobody's any more."""
+        for one in [one for one in self.terminations.values() if one.link is link]:
+            if one.state == "stands" and one.sent_at < started_at:
+                self.cut(one)
+        if self.is_own(link.exchange):
+            for call in [call for call in self.own.calls.values() if call.arrived < started_at]:
+                self.counts.add("orphans_released")
+                self.finish(call)
+
     def is_own(self, exchange: str) -> bool:
         return self.numbers.get(self.settings.number) == exchange
 
@@ -474,7 +502,9 @@
                     statistics = found[1].find("Statistics")
                     load = package.read_load(statistics.items or ()) if statistics else {}
                     if load:
-                        self.post(api.TryEnded(release.call, link.exchange, "served", 0, 0, True, load=load))
+                        self.post(api.Reported(link.exchange, "served", 0, load))
+            case Answered("hello", reply):
+                self.greeted(link, reply)
             case New(request):
                 self.exchange_asks(link, request.id, request.actions)
             case Stray(number):
@@ -554,16 +584,18 @@
             if one.state == "out":
                 self.try_over(one, "reset", free=True, cut_off=True)
             elif one.state == "stands":
-                call = one.call
-                self.counts.add("cut")
-                self.end_try(one, free=False)
-                self.forget(call)
-                self.post(api.TryEnded(call.id, one.exchange, "reset", 0, one.number, True))
-                call.asker.tell(
-                    lambda number: package.notify_text(
-                        number, str(call.id), call.asked.termination, ["ptc/cut"]
-                    )
-                )
+                self.cut(one)
+
+    def cut(self, one: RouteTry) -> None:
+        """A standing call was cut beyond us: its asker is told."""
+        call = one.call
+        self.counts.add("cut")
+        self.end_try(one, free=False)
+        self.forget(call)
+        self.post(api.TryEnded(call.id, one.exchange, "reset", 0, one.number, True))
+        call.asker.tell(
+            lambda number: package.notify_text(number, str(call.id), call.asked.termination, ["ptc/cut"])
+        )
 
     def report_group(self, group: package.GroupFree) -> None:
         exchange = self.numbers.get(group.to)
--- a/peattrestle/agent/link.py
+++ b/peattrestle/agent/link.py
@@ -96,7 +96,7 @@
             self.mid, self.transactions, stream.write, self.settings.limits.message
         )
         session.request(
-            None,
+            "hello",
             lambda number: package.service_change_text(
                 number,
                 "Restart",
