Releases are repeated until confirmed; the own exchange's absence keeps set-ups back

Need: a region cut longer than four seconds leaked circuits (releases were given up), a tandem kept its second leg when the agent before it restarted, and an exchange just replaced got set-ups of its own agent that had no link to it yet, which pushed it over.

Change: a Subtract is repeated under its own transaction id with doubling waits as long as the link stands; a stand-in takes back the transit leg of whatever it frees; an agent without a link to its own exchange sends nothing.

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -327,6 +327,11 @@
         asked, link = call.asked, self.links.get(action.exchange)
         number = call.tries
         call.tries += 1
+        own = self.links.get(self.numbers.get(self.settings.number, ""))
+        if own is not None and not own.up:
+            # Without its own exchange nothing starts here: the set-up's first leg is there.
+            self.unsent(call, number, action.exchange, "moot", "processor_full")
+            return
         if link is None:
             self.unsent(call, number, action.exchange)
             return
@@ -363,10 +368,12 @@
         call.out = self.terminations[one.termination] = one
         one.timer = self.kernel.at(now + action.patience, lambda: self.timed_out(one))
 
-    def unsent(self, call: Call, number: int, exchange: str) -> None:
+    def unsent(
+        self, call: Call, number: int, exchange: str, result: str = "connect_failed", cause: str = ""
+    ) -> None:
         self.guard.try_ended(self.kernel.now(), call.id, False)
         self.counts.add("unsent")
-        self.post(api.TryEnded(call.id, exchange, "connect_failed", 0, number, False))
+        self.post(api.TryEnded(call.id, exchange, result, 0, number, False, cause))
 
     def timed_out(self, one: RouteTry) -> None:
         if one.state == "out":
--- a/peattrestle/agent/link.py
+++ b/peattrestle/agent/link.py
@@ -14,7 +14,7 @@
 from peattrestle.settings.agent import Agent as Settings
 
 MOST_OWED = 10_000
-RELEASE_REPEATS = 3
+RELEASE_REPEAT_MOST = 30_000_000_000
 
 
 class Owner(Protocol):
@@ -189,24 +189,21 @@
         except Full:
             self.owe(release)
             return
-        release.sent += 1
         self.releases[release.transaction] = release
-        release.timer = self.kernel.at(
-            self.kernel.now() + self.settings.links.release_repeat, lambda: self.unconfirmed(release)
-        )
+        self.await_reply(release)
+
+    def await_reply(self, release: Release) -> None:
+        """It is asked again, ever more seldom, for as long as the link stands: what it frees is freed by
+        nothing else, and a region may be cut off for long. The same transaction: it is carried out once."""
+        wait = min(self.settings.links.release_repeat << min(release.sent, 10), RELEASE_REPEAT_MOST)
+        release.sent += 1
+        release.timer = self.kernel.at(self.kernel.now() + wait, lambda: self.unconfirmed(release))
 
     def unconfirmed(self, release: Release) -> None:
-        self.releases.pop(release.transaction, None)
-        self.transactions.give_up(release.transaction)
-        if release.sent <= RELEASE_REPEATS:
-            self.send_release(release)
-        else:
-            self.log(
-                "warning",
-                "a release was never confirmed",
-                exchange=self.exchange,
-                termination=release.termination,
-            )
+        if self.session is None or release.transaction not in self.releases:
+            return
+        self.session.send(package.subtract_text(release.transaction, release.context, release.termination))
+        self.await_reply(release)
 
     def released(self, release: Release) -> None:
         if release.timer is not None:
--- a/peattrestle/settings/agent.py
+++ b/peattrestle/settings/agent.py
@@ -74,7 +74,7 @@
         "1s", "0ms", "1min", "the callers' port opens when all links have answered or after this"
     )
     release_repeat: int = schema.duration(
-        "1s", "10ms", "1min", "a Subtract without a reply is sent again after this, three times"
+        "1s", "10ms", "1min", "a Subtract without a reply is sent again after this, then doubling"
     )
 
 
--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -395,7 +395,6 @@
             )
             return
         if held.state != "over":
-            self.end_onward(held)
             self.free(side, held, after_work=True)
         rows = ",".join(
             f"{name}={self.load(side.number)[ours]:.10g}"
@@ -415,6 +414,7 @@
         if held.state == "over":
             return
         held.state = "over"
+        self.end_onward(held)
         if held.line:
             self.fabric.line_given(held.asked.number)
         if after_work and not self.processor.silent and not self.processor.fallen and not self.stopped:
@@ -529,7 +529,6 @@
         """A standing call is cut: its circuits are free, and whoever set it up is told."""
         if held.state == "over":
             return
-        self.end_onward(held)
         self.free(side, held)
         self.fabric.record.add(self.kernel.now(), "cut", self.name, side.name, held.asked.termination)
         if side.connection is not None:
