Drawn nights: a seed makes a fleet, a load and overlapping troubles

Need: the faults that matter are on no list; a seed is a bug report.

Change: rehearsal/nights.py and the commands nights and night; an exchange's age is dated by the request that asked for it, as its answer may have waited behind a cut (standing calls counted as gone, one circuit leaked).

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -469,7 +469,9 @@
         self.guard.told(now, row.exchange, row.state, now - row.age)
         entry = api.Entry(row.exchange, row.number, row.state, now - row.age, row.zone)
         self.post(api.Listed("delta", (entry,)))
-        self.forgotten(link, now - row.age)
+        # The reply may have been long on its way: what stood before is only gone if it was set up before the
+        # earliest start that the age allows.
+        self.forgotten(link, link.greeted_at - row.age)
 
     def forgotten(self, link: Link, started_at: int) -> None:
         """An exchange that started anew holds nothing of before: calls through it are cut, and the transit
--- a/peattrestle/agent/link.py
+++ b/peattrestle/agent/link.py
@@ -62,7 +62,7 @@
         self.stream: Stream | None = None
         self.up = self.tried = self.closing = False
         self.draw = kernel.chance(f"link/{exchange}")
-        self.heard_at = 0
+        self.heard_at = self.greeted_at = 0
         self.audits = 0
         self.owed: deque[Release] = deque()
         self.releases: dict[int, Release] = {}
@@ -104,7 +104,8 @@
                 f"Version=1,ptc/num={self.settings.number},ptc/run={self.run_name}",
             ),
         )
-        self.heard_at, self.audits = self.kernel.now(), 0
+        self.heard_at = self.greeted_at = self.kernel.now()
+        self.audits = 0
         keeper = self.kernel.spawn(self.keep_alive(stream), f"keepalive {self.exchange}")
         try:
             while True:
--- a/peattrestle/cli/main.py
+++ b/peattrestle/cli/main.py
@@ -158,6 +158,45 @@
     raise SystemExit(HELD if result.passed else BROKEN)
 
 
+@cli.command()
+@click.option("--first", type=click.IntRange(0), default=1, help="First seed.")
+@click.option("--count", type=click.IntRange(1), default=200, help="How many nights.")
+@click.option("--jobs", type=click.IntRange(0), default=0, help="Processes; 0: one for each core.")
+def nights(first: int, count: int, jobs: int) -> None:
+    """Plays drawn nights on the virtual kernel; a night that does not hold is named by its seed."""
+    from peattrestle.rehearsal.nights import play_many
+
+    bad, calls, examined = 0, 0, dict[str, int]()
+    for night in play_many(range(first, first + count), jobs):
+        calls += night.calls
+        for rule, number in night.examined.items():
+            examined[rule] = examined.get(rule, 0) + number
+        if not night.passed:
+            bad += 1
+            click.echo(f"seed {night.seed}: " + "; ".join(night.faults))
+            click.echo(f"  again: peattrestle night {night.seed}")
+    for rule, number in examined.items():
+        click.echo(f"{rule}: {number} examined" + ("" if number else ", NOT JUDGED"))
+    click.echo(f"{count} nights, {calls} calls, {bad} that did not hold")
+    raise SystemExit(BROKEN if bad or not all(examined.values()) else HELD)
+
+
+@cli.command()
+@click.argument("seed", type=click.IntRange(0))
+@click.option("--report", type=click.Path(file_okay=False), help="Folder for the report and the traffic.")
+def night(seed: int, report: str | None) -> None:
+    """Plays one drawn night again, and reports it in full."""
+    from peattrestle.rehearsal import nights as drawn
+    from peattrestle.rehearsal import play
+    from peattrestle.rehearsal import report as reports
+
+    result = play.play(drawn.draw(seed), "virtual")
+    if report:
+        reports.write(result, Path(report))
+    click.echo(reports.table(result))
+    raise SystemExit(HELD if result.passed else BROKEN)
+
+
 @cli.command()
 @click.argument("address", metavar="ADDRESS")
 @click.argument("destination", type=click.IntRange(0), metavar="EXCHANGE")
