--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -259,6 +259,7 @@
             case api.Reported() | api.TryEnded():
                 self.free = int(note.load.get("free", self.free))
                 self.size = int(note.load.get("size", self.size))
+                self.home.able = max(self.home.able, note.load.get("rate", 0.0))
 
     def told(self, entry: api.Entry) -> None:
         self.number, self.state = entry.number, entry.state
@@ -325,7 +326,10 @@
         How it warms is told only for start and end, so half of a steady growth is counted on.
         """
         get = self.loop.settings.get
-        carried = self.home.circuits * get("fall_time", 0) / self.home.holding
+        rate = self.home.circuits / self.home.holding
+        if self.home.able:  # groups may be larger than what the processors behind them can set up
+            rate = min(rate, self.home.able / SECOND)
+        carried = rate * get("fall_time", 0)
         least, left = get("cold_from", 1), (self.cold_until - self.loop.now) / max(1, get("cold_time", 0))
         budget: float = get("fall_multiple", 1) * (least + (1 - least) / 2 * (1 - left)) * carried / 2
         share = max(0.01, budget if own else budget / self.home.peers)
@@ -379,6 +383,7 @@
         get = loop.settings.get
         self.exchanges: dict[str, Exchange] = {}
         self.numbers: dict[int, Exchange] = {}
+        self.able = 0.0    # most set-ups a second that any exchange has reported
         self.circuits = 0  # in all own groups; over the holding time, what a like exchange carries
         self.calls: dict[int, Call] = {}
         self.records: dict[tuple[int, str], RouteRecord] = {}
--- a/peattrestle/h248/text.py
+++ b/peattrestle/h248/text.py
@@ -30,12 +30,15 @@
     re.IGNORECASE,
 )
 # A word, a bracketed value, a quoted string, a mark; last, anything else, so that nothing is passed over.
+_SAFE_CHARS = r"A-Za-z0-9+\-&!_/'?@^`~*$\\()%|.:"
 _TOKEN = re.compile(
-    _SPACE + r"""([^\s{},=<>#;"\[\]]++|[{},=<>#]|"[^"\x00-\x08\x0b\x0c\x0e-\x1f]*+\""""
-    r"""|\[[^\[\]{}"\s]*+\]|\S)"""
+    _SPACE + rf"""([{_SAFE_CHARS}]++|[{{}},=<>#]|"[^"\x00-\x08\x0b\x0c\x0e-\x1f]*+\""""
+    r"""|\[[^\[\]{}"\x00-\x20]*+\]|[^ \t\r\n])"""
+)
+_SAFE = re.compile(rf"[{_SAFE_CHARS}]+")
+_WORD_START = frozenset(
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+-&!_/'?@^`~*$\\()%|.:"
 )
-_SAFE = re.compile(r"[A-Za-z0-9+\-&!_/'?@^`~*$\\()%|.:]+")
-_MARKS = frozenset('{},=<>#"[];')
 _UNQUOTABLE = re.compile(r'["\x00-\x08\x0b\x0c\x0e-\x1f]')
 
 # Long token: short token, of H.248.1 Annex B.2.
@@ -281,7 +284,7 @@
     at = 0
     while at < count:
         token = tokens[at]
-        if token[0] in _MARKS and (token[0] != '"' or len(token) < 2):
+        if token[0] not in _WORD_START and (token[0] != '"' or len(token) < 2):
             raise reader.fault(400, "a name", at)
         item = Item(token, None, None, at)
         items.append(item)
@@ -289,7 +292,7 @@
         token = tokens[at]
         if token == "=":
             value = tokens[at + 1]
-            if not value or value[0] in _MARKS and len(value) < 2:
+            if not value or value[0] not in _WORD_START and (value[0] not in '"[' or len(value) < 2):
                 raise reader.fault(400, "a value", at + 1)
             item.value = value[1:-1] if value[0] == '"' else value
             at += 2
--- a/peattrestle/rehearsal/hosts.py
+++ b/peattrestle/rehearsal/hosts.py
@@ -39,6 +39,8 @@
         return f"127.2.{number // 250}.{number % 250 + 1}:2944"
 
     def start(self, number: int) -> None:
+        if number in self.agents:
+            return
         self.runs += 1
         seed = self.world.script.seed * 100_000 + self.runs
         process = VirtualProcess(self.kernel, seed)
@@ -91,6 +93,8 @@
         return self.addresses[number]
 
     def start(self, number: int) -> None:
+        if number in self.processes:
+            return
         place = self.folder / f"a{number}"
         place.mkdir(parents=True, exist_ok=True)
         settings = self.world.agent_settings(number, self.address(number), str(place / "state"))
--- a/peattrestle/rehearsal/script.py
+++ b/peattrestle/rehearsal/script.py
@@ -33,6 +33,7 @@
     "gateway_reset",
     "list_gone",
     "garbage",
+    "repeats",
 )
 
 
--- a/peattrestle/rehearsal/trouble.py
+++ b/peattrestle/rehearsal/trouble.py
@@ -232,6 +232,14 @@
 
         return undo
 
+    def do_repeats(self, one: Trouble) -> Callable[[], None]:
+        self.world.habits.repeats = min(1.0, one.figure)
+
+        def undo() -> None:
+            self.world.habits.repeats = 0.0
+
+        return undo
+
     def do_gateway_reset(self, one: Trouble) -> None:
         for number in self.who(one):
             self.world.gateways[number].reset()
--- a/peattrestle/standin/record.py
+++ b/peattrestle/standin/record.py
@@ -12,9 +12,9 @@
 class Row:
     """`place`: the stand-in that saw it ('gateway 3', an exchange's name, 'list'). `agent`: the agent's name.
 
-    kinds: asked, answered, subtracted, confirmed (the reply to a caller's Subtract), dropped (a caller's
-    call ended with its connection), cut, add, replied, freed (a Subtract came), lost (a connection to an
-    agent ended), told, killed, pressure.
+    kinds: asked, repeated, answered, subtracted, confirmed (the reply to a caller's Subtract), dropped (a
+    caller's call ended with its connection), cut, add, replied, freed (a Subtract came), lost (a connection
+    to an agent ended), told, killed, fell, pressure.
     """
 
     at: int
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -400,3 +400,22 @@
         sends += sent(agent.ended(20, 1, 1, end[0], cause=end[1]))
     assert (len(looked) > 15) == looked_at
     assert len(sends) == 1 + (looked_at and free is None)
+
+
+@pytest.mark.parametrize(("reported", "most"), [
+    (None, 10),       # 90 circuits over 10 s: 9 a second, for 2 s, four times, at 0.3 of it, half for the own agent
+    (9.0, 10),
+    (2.0, 2),         # the groups are larger than the processors: what these have reported bounds it
+])
+def test_the_cold_budget_is_bounded_by_what_processors_report(reported: float | None, most: int) -> None:
+    agent = Agent(settings={"fall_multiple": 4.0, "agents": 2, "holding:line": 10_000 * MS,
+                            "cold_time": 1_000_000 * MS, "fall_time": 2000 * MS})
+    agent.at(5, api.Listed("delta", (api.Entry("x0", 0, "ready", 5 * MS),)))
+    if reported is not None:
+        agent.at(6, api.Reported("x2", "served", 0, {"rate": reported}))
+    agent.controller._home.numbers[0].told_at = -(1 << 60)     # the drawn start of its window is long past
+    sends = 0
+    for call in range(40):
+        sends += len(sent(agent.call(10 + call, call, to=1 + call % 3)))
+        agent.stood(10 + call, call, 1 + call % 3, delay=1)
+    assert sends == most
