--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -505,7 +505,7 @@
             case Answered(RouteTry() as one, reply):
                 self.outcome(one, package.read_outcome(reply))
             case Answered(Release() as release, reply):
-                link.released(release)
+                link.released(release, package.refusal(reply))
                 found = package.first_command(reply.actions)
                 if found is not None:
                     statistics = found[1].find("Statistics")
--- a/peattrestle/agent/link.py
+++ b/peattrestle/agent/link.py
@@ -206,10 +206,14 @@
         self.session.send(package.subtract_text(release.transaction, release.context, release.termination))
         self.await_reply(release)
 
-    def released(self, release: Release) -> None:
+    def released(self, release: Release, code: int) -> None:
+        """`code`: of the reply. What the exchange does not know is free; any other error is asked again."""
         if release.timer is not None:
             release.timer.cancel()
         self.releases.pop(release.transaction, None)
+        if code not in (0, package.UNKNOWN_TERMINATION, package.UNKNOWN_CONTEXT):
+            wait = min(self.settings.links.release_repeat << min(release.sent, 10), RELEASE_REPEAT_MOST)
+            self.kernel.at(self.kernel.now() + wait, lambda: self.send_release(release))
 
     def owe(self, release: Release) -> None:
         release.sent = 0
--- a/peattrestle/h248/package.py
+++ b/peattrestle/h248/package.py
@@ -286,6 +286,17 @@
     return ServiceChange(method, values.get("reason", ""), values)
 
 
+def refusal(reply: Reply) -> int:
+    """The error code of a reply to one command; 0 where it was carried out."""
+    if reply.error is not None:
+        return reply.error[0]
+    found = first_command(reply.actions)
+    if found is None:
+        return next((action.error[0] for action in reply.actions if action.error is not None), 500)
+    error = found[1].find("Error")
+    return int(error.value or 500) if error is not None else 0
+
+
 def first_command(actions: Iterable[Action]) -> tuple[Action, Command] | None:
     for action in actions:
         for command in action.commands:
--- a/peattrestle/runtime/virtual.py
+++ b/peattrestle/runtime/virtual.py
@@ -37,7 +37,7 @@
         self.other: VirtualStream = self
         self.delay = kernel.draw.randint(kernel.network.delay_least, kernel.network.delay_most)
         self.unsent = 0
-        self._out: deque[bytes] = deque()  # not yet under way: the peer's window is full
+        self._out: deque[memoryview] = deque()  # not yet under way: the peer's window is full
         self._under_way = 0
         self._arrived: deque[bytes] = deque()
         self._unread = 0
@@ -53,7 +53,7 @@
     def write(self, data: bytes) -> None:
         if self._closed or self._finished or not data:
             return
-        self._out.append(data)
+        self._out.append(memoryview(data))
         self.unsent += len(data)
         self._push()
 
@@ -61,11 +61,15 @@
         network = self.kernel.network
         while self._out and self.other._unread + self._under_way < network.window:
             data = self._out.popleft()
+            room = network.window - self.other._unread - self._under_way
+            if len(data) > room:
+                self._out.appendleft(data[room:])
+                data = data[:room]
             self.unsent -= len(data)
-            pieces = [data]
+            pieces = [bytes(data)]
             if len(data) > 1 and self.kernel.draw.random() < network.cut_up:
                 at = self.kernel.draw.randint(1, len(data) - 1)
-                pieces = [data[:at], data[at:]]
+                pieces = [bytes(data[:at]), bytes(data[at:])]
             for piece in pieces:
                 self._under_way += len(piece)
                 self._later(partial(self._deliver, piece))
@@ -171,7 +175,7 @@
     def close(self) -> None:
         if not self._closed:
             while self._out:
-                piece = self._out.popleft()
+                piece = bytes(self._out.popleft())
                 self._under_way += len(piece)
                 self._later(partial(self._deliver, piece))
             self.finish()
--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -78,7 +78,7 @@
             elif isinstance(heard, Answered) and isinstance(heard.kept, Held):
                 exchange.onward_answered(heard.kept, package.read_outcome(heard.reply))
             elif isinstance(heard, Answered) and isinstance(heard.kept, str) and self.side is not None:
-                exchange.onward_ended(self.side, heard.kept)
+                exchange.onward_ended(self.side, heard.kept, package.refusal(heard.reply))
             elif isinstance(heard, Stray) and self.side is not None:
                 exchange.stray(self.side, heard.id)
 
@@ -102,7 +102,7 @@
         if flags.garble and exchange.draw.random() < flags.garble:
             at = exchange.draw.randrange(4, len(data))
             data = data[:at] + bytes([exchange.draw.choice(b'{}"=,\x00\xff')]) + data[at + 1 :]
-        if flags.late_replies:
+        if flags.late_replies and b"Reply=" in data:
             exchange.kernel.at(exchange.kernel.now() + flags.late_replies, lambda: self.stream.write(data))
         elif flags.single_bytes or self.busy_until > exchange.kernel.now():
             at = max(self.busy_until, exchange.kernel.now())
@@ -513,8 +513,14 @@
     def take_back(self, session: Session, termination: str) -> None:
         session.request(None, lambda number: package.subtract_text(number, "*", termination))
 
-    def onward_ended(self, side: AgentSide, termination: str) -> None:
+    def onward_ended(self, side: AgentSide, termination: str, code: int) -> None:
         """The own agent confirms it: from now on nothing more may come for that call."""
+        if code not in (0, package.UNKNOWN_TERMINATION):
+            if side.connection is not None:  # it could not read the request
+                side.connection.session.request(
+                    termination, lambda number: package.subtract_text(number, "*", termination)
+                )
+            return
         self.fabric.record.add(self.kernel.now(), "confirmed", self.name, side.name, termination)
         for number, kept in list(side.transactions.open.items()):
             if isinstance(kept, Held) and kept.onward == termination:
--- a/peattrestle/standin/processor.py
+++ b/peattrestle/standin/processor.py
@@ -129,9 +129,12 @@
             if run != self._run:
                 return
             self._busy = False
+            if self.silent:  # it comes to this again when it wakes
+                line.appendleft((work, done))
+                return
             self._waiting_work -= work
             self.done_work += work
-            if not self.silent and not self.fallen:
+            if not self.fallen:
                 done()
             self._next()
 
--- /dev/null
+++ b/tests/runtime/test_kernels.py
@@ -0,0 +1,341 @@
+"""One contract for both kernels: every case runs on real sockets and on the virtual kernel."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import resource
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any
+
+import pytest
+
+from peattrestle.runtime import (
+    Cancelled,
+    Coroutine,
+    Event,
+    Kernel,
+    Listener,
+    Lost,
+    Queue,
+    Refused,
+    Stream,
+    TimedOut,
+)
+from peattrestle.runtime.epoll import EpollKernel, split
+from peattrestle.runtime.virtual import Network, VirtualKernel, VirtualProcess
+
+MS = 1_000_000
+
+
+@pytest.fixture(params=["epoll", "virtual"])
+def kernel(request: pytest.FixtureRequest) -> Iterator[Kernel]:
+    made: Kernel = EpollKernel(3) if request.param == "epoll" else VirtualKernel(3, Network(window=4096))
+    yield made
+    made.close()
+
+
+def run(kernel: Kernel, body: Coroutine[Any]) -> Any:
+    """Its result; what it raises is raised. A run that does not end in 20 s of the kernel's time fails."""
+    task = kernel.spawn(body, "test", watch=False)
+
+    def end() -> Coroutine[None]:
+        with contextlib.suppress(Exception):
+            yield from task.join()
+        kernel.stop()
+    kernel.spawn(end(), "end")
+    kernel.run(kernel.now() + 20_000 * MS)
+    assert task.done, "it hangs"
+    if task.error is not None:
+        raise task.error
+    return task.result
+
+
+def pair(kernel: Kernel) -> Coroutine[tuple[Stream, Stream, Listener]]:
+    listener = kernel.listen("127.0.0.1:0")
+    accepting = kernel.spawn(listener.accept(), "accept")
+    here = yield from kernel.connect(listener.address, 1000 * MS)
+    there = yield from accepting.join()
+    assert there is not None
+    return here, there, listener
+
+
+def read_all(stream: Stream) -> Coroutine[bytes]:
+    out = []
+    while data := (yield from stream.read()):
+        out.append(data)
+    return b"".join(out)
+
+
+def test_wake_order_and_timers_due_at_once(kernel: Kernel) -> None:
+    seen: list[str] = []
+
+    def body() -> Coroutine[None]:
+        at = kernel.now() + 2 * MS
+        for name in "abc":
+            kernel.at(at, lambda name=name: seen.append(name))  # type: ignore[misc]
+        kernel.at(at - MS, lambda: seen.append("first"))
+        kernel.at(at, lambda: seen.append("never")).cancel()
+        kernel.at_turn_end(lambda: seen.append("turn"))
+        yield from kernel.sleep(10 * MS)
+    run(kernel, body())
+    assert seen == ["turn", "first", "a", "b", "c"]
+
+
+def test_fifty_thousand_timers_and_most_of_them_cancelled(kernel: Kernel) -> None:
+    fired: list[int] = []
+
+    def body() -> Coroutine[None]:
+        at = kernel.now() + 300 * MS
+        timers = [kernel.at(at + n, partial(fired.append, n)) for n in range(50_000)]
+        for number, timer in enumerate(timers):
+            if number % 50:
+                timer.cancel()
+        assert len(kernel._heap) < 5_000
+        yield from kernel.sleep(400 * MS)
+    run(kernel, body())
+    assert fired == list(range(0, 50_000, 50))
+
+
+WAITS = ["sleep", "event", "queue get", "queue put", "read", "drain", "accept", "join"]
+
+
+@pytest.mark.parametrize("where", WAITS)
+def test_cancellation_at_every_kind_of_yield(kernel: Kernel, where: str) -> None:
+    seen: list[str] = []
+
+    def waits() -> Coroutine[None]:
+        here, there, listener = yield from pair(kernel)
+        queue: Queue[int] = Queue(kernel, 1)
+        sleeper = kernel.spawn(kernel.sleep(5000 * MS), "sleeper")
+        here.write(b"x" * 12_000_000)
+        bodies: dict[str, Callable[[], Coroutine[Any]]] = {
+            "sleep": lambda: kernel.sleep(5000 * MS), "event": Event(kernel).wait, "queue get": queue.get,
+            "queue put": lambda: queue.put(2), "read": here.read, "drain": lambda: here.drain(1),
+            "accept": listener.accept, "join": sleeper.join}
+        if where == "queue put":
+            queue.offer(1)
+        try:
+            yield from bodies[where]()
+            seen.append("went on")
+        except Cancelled:
+            seen.append("cancelled")
+            raise
+        finally:
+            there.abort()
+
+    def body() -> Coroutine[None]:
+        task = kernel.spawn(waits(), "waits")
+        yield from kernel.sleep(50 * MS)
+        task.cancel()
+        task.cancel()
+        yield from kernel.sleep(20 * MS)
+        assert task.done
+    run(kernel, body())
+    assert seen == ["cancelled"]
+    assert not kernel.crashes
+
+
+def test_a_queue_is_bounded_and_loses_nothing_to_a_cancelled_getter(kernel: Kernel) -> None:
+    def body() -> Coroutine[list[int]]:
+        queue: Queue[int] = Queue(kernel, 2)
+        getter = kernel.spawn(queue.get(), "getter")
+        yield from kernel.sleep(MS)
+        assert queue.offer(1)
+        getter.cancel()  # woken, and cancelled before its turn
+        yield from kernel.sleep(MS)
+        assert queue.offer(2) and not queue.offer(3)
+        putter = kernel.spawn(queue.put(4), "putter")
+        yield from kernel.sleep(MS)
+        assert not putter.done
+        out = []
+        for _ in range(3):
+            out.append((yield from queue.get()))
+        return out
+    assert run(kernel, body()) == [1, 2, 4]
+
+
+def test_a_child_that_raises_has_a_fate(kernel: Kernel) -> None:
+    def bad() -> Coroutine[None]:
+        yield from kernel.sleep(MS)
+        raise KeyError("x")
+
+    def body() -> Coroutine[None]:
+        kernel.spawn(bad(), "alone")
+        with pytest.raises(KeyError):
+            yield from kernel.spawn(bad(), "joined").join()
+        with pytest.raises(KeyError):
+            yield from kernel.within(50 * MS, bad())
+        with pytest.raises(TimedOut):
+            yield from kernel.within(5 * MS, kernel.sleep(5000 * MS))
+    run(kernel, body())
+    assert [name for name, _ in kernel.crashes] == ["alone"]
+
+
+def test_bytes_arrive_whole_and_in_order_through_a_shut_window(kernel: Kernel) -> None:
+    sent = os.urandom(100_000) * 120
+
+    def body() -> Coroutine[bytes]:
+        here, there, _ = yield from pair(kernel)
+        for at in range(0, len(sent), 50_000):
+            here.write(sent[at : at + 50_000])
+        yield from kernel.sleep(50 * MS)
+        assert here.unsent > 0      # a peer that does not read leaves them with the writer
+        here.finish()
+        got = yield from read_all(there)
+        yield from here.drain(1)
+        return got
+    assert run(kernel, body()) == sent
+
+
+def test_a_half_closed_peer_is_still_written_to(kernel: Kernel) -> None:
+    def body() -> Coroutine[tuple[bytes, bytes]]:
+        here, there, _ = yield from pair(kernel)
+        here.write(b"question")
+        here.finish()
+        question = yield from read_all(there)
+        there.write(b"answer")
+        there.finish()
+        return question, (yield from read_all(here))
+    assert run(kernel, body()) == (b"question", b"answer")
+
+
+@pytest.mark.parametrize("how", ["abort", "close here", "write after the peer is gone"])
+def test_a_connection_that_ends_while_someone_reads(kernel: Kernel, how: str) -> None:
+    def body() -> Coroutine[None]:
+        here, there, _ = yield from pair(kernel)
+        reader = kernel.spawn(here.read(), "reader", watch=False)
+        yield from kernel.sleep(10 * MS)
+        if how == "abort":
+            there.abort()
+        elif how == "close here":
+            here.close()
+        else:
+            there.close()
+            here.write(b"a")
+            yield from kernel.sleep(20 * MS)
+            here.write(b"b")
+        yield from kernel.sleep(50 * MS)
+        if how == "write after the peer is gone":
+            assert reader.result == b""     # its end first, then the reset
+            with pytest.raises(Lost):
+                yield from here.read()
+                yield from here.read()
+        else:
+            with pytest.raises(Lost):
+                yield from reader.join()
+        here.write(b"thrown away")
+        assert here.unsent == 0
+    run(kernel, body())
+
+
+@pytest.mark.parametrize("who", ["nobody", "gone"])
+def test_connecting_to_nobody(kernel: Kernel, who: str) -> None:
+    def body() -> Coroutine[None]:
+        listener = kernel.listen("127.0.0.1:0")
+        address = listener.address
+        listener.close()
+        with pytest.raises(Refused):
+            yield from kernel.connect(address, 500 * MS)
+        with pytest.raises(Lost):
+            yield from listener.accept()
+    run(kernel, body())
+
+
+def test_a_port_is_taken_once(kernel: Kernel) -> None:
+    listener = kernel.listen("127.0.0.1:0")
+    with pytest.raises(OSError):
+        kernel.listen(listener.address)
+
+
+# Each kernel's own.
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1:1", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:70000", "::1:5"])
+def test_only_loopback(address: str) -> None:
+    with pytest.raises(ValueError):
+        split(address)
+
+
+def test_accept_goes_on_after_descriptors_ran_out() -> None:
+    kernel = EpollKernel()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    def body() -> Coroutine[tuple[int, bytes]]:
+        listener = kernel.listen("127.0.0.1:0")
+        taken: list[Stream] = []
+
+        def serve() -> Coroutine[None]:
+            while True:
+                taken.append((yield from listener.accept()))
+        kernel.spawn(serve(), "serve")
+        clients = []
+        for _ in range(3):
+            clients.append((yield from kernel.connect(listener.address, 500 * MS)))
+        yield from kernel.sleep(20 * MS)
+        # As many descriptors as are open, and three more: the next client's own, and then none.
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 2, hard))
+        try:
+            shed = yield from kernel.connect(listener.address, 500 * MS)
+            end = yield from kernel.within(1000 * MS, shed.read())
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        yield from kernel.sleep(100 * MS)
+        yield from kernel.connect(listener.address, 500 * MS)
+        yield from kernel.sleep(100 * MS)
+        assert len(taken) == 4
+        return listener.shed, end
+    assert run(kernel, body()) == (1, b"")
+    kernel.close()
+
+
+def night(seed: int) -> tuple[list[bytes], int]:
+    kernel = VirtualKernel(seed, Network(cut_up=0.5))
+    got: list[bytes] = []
+
+    def body() -> Coroutine[None]:
+        here, there, _ = yield from pair(kernel)
+        for number in range(50):
+            here.write(bytes([number]) * 100)
+            yield from kernel.sleep(MS // 3)
+        here.finish()
+        while data := (yield from there.read()):
+            got.append(data)
+    run(kernel, body())
+    return got, kernel.now()
+
+
+def test_a_virtual_run_is_a_function_of_its_seed() -> None:
+    assert night(5) == night(5)
+    assert night(5) != night(6)
+
+
+def test_a_killed_process_does_nothing_more() -> None:
+    kernel = VirtualKernel(1)
+    process = VirtualProcess(kernel, 2)
+    seen: list[str] = []
+
+    def child() -> Coroutine[None]:
+        listener = process.listen("127.0.0.1:7000")
+        process.at(process.now() + 50 * MS, lambda: seen.append("timer"))
+        stream = yield from listener.accept()
+        try:
+            yield from stream.read()
+        finally:
+            stream.write(b"last words")
+            process.at(process.now(), lambda: seen.append("last timer"))
+
+    def body() -> Coroutine[None]:
+        process.spawn(child(), "child")
+        yield from kernel.sleep(MS)
+        stream = yield from kernel.connect("127.0.0.1:7000", 100 * MS)
+        yield from kernel.sleep(10 * MS)
+        process.kill()
+        with pytest.raises(Lost):
+            yield from stream.read()
+        with pytest.raises(Refused):
+            yield from kernel.connect("127.0.0.1:7000", 100 * MS)
+        yield from kernel.sleep(100 * MS)
+    run(kernel, body())
+    assert seen == []
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -403,7 +403,7 @@
 
 
 @pytest.mark.parametrize(("reported", "most"), [
-    (None, 10),       # 90 circuits over 10 s: 9 a second, for 2 s, four times, at 0.3 of it, half for the own agent
+    (None, 10),       # 90 circuits over 10 s: 9 a second; 2 s, four times, 0.3 of it, half for the own agent
     (9.0, 10),
     (2.0, 2),         # the groups are larger than the processors: what these have reported bounds it
 ])
