--- a/peattrestle/runtime/epoll.py
+++ b/peattrestle/runtime/epoll.py
@@ -319,7 +319,7 @@
         while not self.stopped:
             self.run_ready()
             now = self.now()
-            if until is not None and now >= until:
+            if self.stopped or until is not None and now >= until:
                 return
             at = self.next_due()
             if at is None and not self.handles and not self.ready:
--- a/peattrestle/runtime/virtual.py
+++ b/peattrestle/runtime/virtual.py
@@ -59,9 +59,11 @@
 
     def _push(self) -> None:
         network = self.kernel.network
-        while self._out and self.other._unread + self._under_way < network.window:
-            data = self._out.popleft()
+        while self._out:
             room = network.window - self.other._unread - self._under_way
+            if room < min(len(self._out[0]), network.window // 2):
+                break  # no tiny pieces: a window opens by half or not at all
+            data = self._out.popleft()
             if len(data) > room:
                 self._out.appendleft(data[room:])
                 data = data[:room]
@@ -97,7 +99,8 @@
         other = self.other
         self._under_way -= len(piece)
         if other._closed:
-            self._reset("peer closed")  # bytes for a socket that is gone come back as a reset
+            # Bytes for a socket that is gone come back as a reset.
+            self.kernel.at(self.kernel.now() + self.delay, lambda: self._reset("peer closed"))
             return
         other._arrived.append(piece)
         other._unread += len(piece)
