--- a/peattrestle/h248/session.py
+++ b/peattrestle/h248/session.py
@@ -76,6 +76,16 @@
                     heard.append(outcome)
         return heard
 
+    def peek(self, data: bytes) -> list[text.Message]:
+        """The messages that these bytes complete, with nothing done about them, when it is over.
+
+        Raises BadPeer and Malformed.
+        """
+        try:
+            return [text.parse(message, self.most) for message in self._framer.feed(data)]
+        except tpkt.BadFrame as fault:
+            raise BadPeer(str(fault)) from None
+
     def _name(self, mid: str) -> None:
         if self.peer:
             raise BadPeer(f"the peer was {self.peer} and now says that it is {mid}")
--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -10,7 +10,7 @@
 from peattrestle.h248 import package
 from peattrestle.h248.package import BadValue, Outcome, SetUpAsked
 from peattrestle.h248.session import BadPeer, Session
-from peattrestle.h248.text import Action, Command, Request
+from peattrestle.h248.text import Action, Command, Malformed, Request
 from peattrestle.h248.transactions import Answered, New, Stray, Transactions
 from peattrestle.runtime import Coroutine, Kernel, Listener, Lost, Stream
 from peattrestle.standin.fabric import Fabric, Flags, Group
@@ -69,6 +69,18 @@
         except BadPeer:
             self.stream.abort()
 
+    def drop_late(self) -> None:
+        """What was still on its way goes down with the connection; it was seen at the socket all the same."""
+        late, self.late = self.late, []
+        for at, data in late:
+            try:
+                parts = [part for message in self.session.peek(data) for part in message.parts]
+            except (BadPeer, Malformed):
+                return
+            for part in parts:
+                if isinstance(part, Request) and self.side is not None:
+                    self.exchange.only_seen(self.side, at, part.actions[0].commands[0])
+
     def feed(self, seen_at: int, data: bytes) -> None:
         exchange = self.exchange
         exchange.seen_at, exchange.unsure = seen_at, seen_at < self.unsure_until
@@ -143,7 +155,7 @@
             why = str(fault)
         finally:
             self.stream.close()
-            self.late = []  # what was still on its way went down with the connection
+            self.drop_late()
             exchange.connections.discard(self)
             side = self.side
             if side is not None and side.connection is self:
@@ -231,6 +243,14 @@
             self.kernel.now(), "fell", self.name, "", value=self.started_at, text=" ".join(senders)
         )
 
+    def only_seen(self, side: AgentSide, at: int, command: Command) -> None:
+        self.seen_at, self.unsure = at, False
+        if command.name == "Subtract":
+            self.record("freed", side, command.termination)
+        elif command.name == "Add":
+            reference = command.find("Media", "LocalControl", "ptc/ref")
+            self.record("add", side, command.termination, reference.value or "" if reference else "")
+
     # Requests of agents.
 
     def asked(self, connection: Connection, side: AgentSide, request: Request) -> None:
@@ -254,7 +274,7 @@
             if side.name == self.own_agent and side.connection is not None:
                 owed, self.owed = self.owed, []
                 for termination in owed[-10_000:]:
-                    self.take_back(side.connection.session, termination)
+                    self.take_back(side, termination)
                 self.tell_groups(group for group in self.fabric.groups.values() if self.number in group.ends)
         elif command.name == "Notify":
             if package.is_cut(command) and command.termination in self.onward:
@@ -485,7 +505,7 @@
     def stray(self, side: AgentSide, number: int) -> None:
         """A second answer to a transit call, or one to nothing."""
         termination = self.onward_asks.get(number, "")
-        if termination:
+        if termination and side.name == self.own_agent:
             self.fabric.record.add(
                 self.kernel.now(), "answered", self.name, side.name, termination, text="again"
             )
@@ -499,10 +519,7 @@
             self.owed.append(held.onward)
             return
         self.fabric.record.add(self.kernel.now(), "subtracted", self.name, side.name, held.onward)
-        number = side.connection.session.request(
-            held.onward, lambda number: package.subtract_text(number, "*", held.onward)
-        )
-        self.kernel.at(self.kernel.now() + 1_000_000_000, lambda: self.ask_again(side, number, held.onward))
+        self.take_back(side, held.onward)
 
     def ask_again(self, side: AgentSide, number: int, termination: str) -> None:
         if side.connection is not None and side.transactions.open.get(number) == termination:
@@ -510,16 +527,19 @@
             again = self.kernel.now() + 1_000_000_000
             self.kernel.at(again, lambda: self.ask_again(side, number, termination))
 
-    def take_back(self, session: Session, termination: str) -> None:
-        session.request(None, lambda number: package.subtract_text(number, "*", termination))
+    def take_back(self, side: AgentSide, termination: str) -> None:
+        """Asked again until it is answered."""
+        if side.connection is not None:
+            number = side.connection.session.request(
+                termination, lambda number: package.subtract_text(number, "*", termination)
+            )
+            again = self.kernel.now() + 1_000_000_000
+            self.kernel.at(again, lambda: self.ask_again(side, number, termination))
 
     def onward_ended(self, side: AgentSide, termination: str, code: int) -> None:
         """The own agent confirms it: from now on nothing more may come for that call."""
         if code not in (0, package.UNKNOWN_TERMINATION):
-            if side.connection is not None:  # it could not read the request
-                side.connection.session.request(
-                    termination, lambda number: package.subtract_text(number, "*", termination)
-                )
+            self.take_back(side, termination)  # it could not read the request
             return
         self.fabric.record.add(self.kernel.now(), "confirmed", self.name, side.name, termination)
         for number, kept in list(side.transactions.open.items()):
