--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -432,6 +432,8 @@
         if broken:
             self.counts.add("guard_refusals")
             self.log("error", "the guard refused an answer", rule=broken, call=call.id)
+            if not call.asker.transactions.owes(call.transaction):
+                return  # it has its answer, and keeps it
             call.asker.transactions.answer(
                 call.transaction, package.outcome_text(call.transaction, call.asked.termination, OWN_FAULT)
             )
--- a/peattrestle/h248/transactions.py
+++ b/peattrestle/h248/transactions.py
@@ -164,6 +164,11 @@
             raise KeyError(f"transaction {number} has been answered")
         served.reply = text
 
+    def owes(self, number: int) -> bool:
+        """Whether the peer's request is still without its reply."""
+        served = self.served.get(number)
+        return served is not None and served.reply is None
+
     def forget(self, now: int) -> None:
         """Drops what is older than the long timer; one still being carried out is kept."""
         old = now - LONG_TIMER
--- a/peattrestle/rehearsal/judge.py
+++ b/peattrestle/rehearsal/judge.py
@@ -107,8 +107,10 @@
                 repeats[key] += 1
             elif row.kind == "confirmed":
                 ended.setdefault(key, row.at)
-            elif row.kind in ("dropped", "subtracted"):
-                excused.add(key)  # gone before an answer; one may cross it, a second may not
+            elif row.kind == "dropped" or (
+                row.kind == "subtracted" and key in asked and row.at < asked[key].value
+            ):
+                excused.add(key)  # gone before its time; one answer may cross that, a second may not
             elif row.kind == "lost":
                 lost_at[row.place, row.agent].append(row.at)
         least, latest = 1 << 62, self.rows[-1].at if self.rows else 0
--- a/peattrestle/runtime/kernel.py
+++ b/peattrestle/runtime/kernel.py
@@ -137,7 +137,7 @@
 
     def _end(self, result: T | None, error: BaseException | None) -> None:
         self.done, self.result, self.error, self.waiter = True, result, error, None
-        self.kernel.tasks.discard(self)
+        self.kernel.tasks.pop(self, None)
         for waiter in self.ended:
             waiter.set()
         if error is not None and not isinstance(error, Cancelled) and self.watch and not self.ended:
@@ -288,7 +288,7 @@
     def __init__(self, seed: int) -> None:
         self.seed = seed
         self.ready: deque[Task[Any]] = deque()
-        self.tasks: set[Task[Any]] = set()
+        self.tasks: dict[Task[Any], None] = {}  # in order: a set's would differ from run to run
         self.stopped = False
         self.crashes: list[tuple[str, BaseException]] = []
         self.on_crash: Callable[[str, BaseException], None] | None = None
@@ -311,7 +311,7 @@
     def spawn(self, body: Coroutine[T], name: str, watch: bool = True) -> Task[T]:
         """Starts a coroutine at the next turn. If it raises and nobody joins it, `crashed` is told."""
         task = Task(self, body, name, watch)
-        self.tasks.add(task)
+        self.tasks[task] = None
         self.ready.append(task)
         return task
 
--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -57,7 +57,9 @@
         exchange, name = self.exchange, mid.strip("<>")
         side = exchange.agents.setdefault(name, AgentSide(name))
         if side.connection is not None:
-            side.connection.stream.close()
+            former = side.connection
+            former.ended("it came again")
+            former.stream.close()
         side.connection, self.side = self, side
         return side.transactions
 
@@ -156,16 +158,21 @@
         finally:
             self.stream.close()
             self.drop_late()
-            exchange.connections.discard(self)
-            side = self.side
-            if side is not None and side.connection is self:
-                side.connection = None
-                exchange.fabric.record.add(exchange.kernel.now(), "lost", exchange.name, side.name, text=why)
-                for kept in side.transactions.lost():
-                    if isinstance(kept, Held):
-                        exchange.onward_dropped(side, kept)
-                    elif isinstance(kept, str):
-                        exchange.owed.append(kept)
+            exchange.connections.pop(self, None)
+            self.ended(why)
+
+    def ended(self, why: str) -> None:
+        """What was asked over this connection and not answered ends with it."""
+        exchange, side = self.exchange, self.side
+        if side is None or side.connection is not self:
+            return
+        side.connection = None
+        exchange.fabric.record.add(exchange.kernel.now(), "lost", exchange.name, side.name, text=why)
+        for kept in side.transactions.lost():
+            if isinstance(kept, Held):
+                exchange.onward_dropped(side, kept)
+            elif isinstance(kept, str):
+                exchange.owed.append(kept)
 
 
 class StandinExchange:
@@ -200,7 +207,7 @@
         if cold:
             self.processor.restart(cold=True)
         self.agents: dict[str, AgentSide] = {}
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}  # in order: a set's would differ from run to run
         self.contexts = 0
         self.onward_count = 0
         self.onward: dict[str, tuple[AgentSide, Held]] = {}
@@ -220,7 +227,7 @@
             except Lost:
                 return
             connection = Connection(self, stream)
-            self.connections.add(connection)
+            self.connections[connection] = None
             self.kernel.spawn(connection.run(), f"{self.name} < {stream.peer}")
 
     def record(
--- /dev/null
+++ b/tests/h248/test_conversation.py
@@ -0,0 +1,220 @@
+"""Framing, transactions and sessions: pieces, repeats, strays, bounds."""
+
+from __future__ import annotations
+
+import pytest
+
+from peattrestle.h248 import package, text
+from peattrestle.h248.package import BadValue, Outcome, SetUpAsked
+from peattrestle.h248.session import BadPeer, Garbled, Session
+from peattrestle.h248.tpkt import BadFrame, Framer, frame
+from peattrestle.h248.transactions import (
+    LONG_TIMER,
+    Again,
+    Answered,
+    Full,
+    New,
+    Slow,
+    Stray,
+    Transactions,
+)
+
+REQUEST = text.Request(5, [text.Action("-", [text.Command("AuditValue", "ROOT")])])
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 5, 100])
+def test_frames_in_any_pieces(step: int) -> None:
+    data = frame(b"one") + frame(b"x" * 50) + frame(b"three")
+    framer, out = Framer(), []
+    for at in range(0, len(data), step):
+        out += framer.feed(data[at : at + step])
+    assert out == [b"one", b"x" * 50, b"three"]
+    assert framer.pending() == 0
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"GET / HTTP", b"\x03\x01\x00\x08", b"\x03\x00\x00\x04", b"\x03\x00\x00\x00", b"\x03\x00\xff\xff"],
+)
+def test_bad_frames(data: bytes) -> None:
+    with pytest.raises(BadFrame):
+        Framer(100).feed(data)
+
+
+def test_frame_length_by_hand() -> None:
+    assert frame(b"abc") == b"\x03\x00\x00\x07abc"
+    with pytest.raises(ValueError):
+        frame(b"x" * 65532)
+
+
+def test_a_repeated_request_is_carried_out_once() -> None:
+    peer = Transactions()
+    assert peer.receive(0, REQUEST) == New(REQUEST)
+    assert peer.receive(1, REQUEST) == Again("Pending=5{}")  # still at it
+    peer.answer(5, "Reply=5{...}")
+    assert peer.receive(2, REQUEST) == Again("Reply=5{...}")
+    assert peer.receive(LONG_TIMER - 1, REQUEST) == Again("Reply=5{...}")
+    with pytest.raises(KeyError):
+        peer.answer(5, "another")
+    peer.receive(3, text.Ack([(1, 9)]))
+    assert peer.receive(4, REQUEST) is None  # its reply has been acknowledged: no words, no work
+    assert peer.receive(2 * LONG_TIMER, REQUEST) == New(REQUEST)  # as long as the profile says, and no longer
+
+
+def test_one_still_carried_out_is_not_forgotten() -> None:
+    peer = Transactions()
+    peer.receive(0, REQUEST)
+    assert peer.receive(3 * LONG_TIMER, REQUEST) == Again("Pending=5{}")
+    assert peer.receive(9 * LONG_TIMER, REQUEST) == Again("Pending=5{}")
+
+
+def test_replies_out_of_order_late_and_strange() -> None:
+    peer = Transactions(first=(1 << 32) - 2)
+    ids = [peer.begin(name) for name in "abc"]
+    assert ids == [(1 << 32) - 2, (1 << 32) - 1, 1]  # 0 is no id
+    reply = text.Reply(ids[2])
+    assert peer.receive(0, reply) == Answered("c", reply)
+    assert peer.receive(0, reply) == Stray(1)  # a second time
+    assert peer.receive(0, text.Pending(ids[0])) == Slow("a")
+    peer.give_up(ids[0])
+    assert peer.receive(0, text.Reply(ids[0])) == Stray(ids[0])
+    assert peer.lost() == ["b"]
+    assert peer.receive(0, text.Reply(ids[1])) == Stray(ids[1])
+
+
+def test_bounds_of_transactions() -> None:
+    peer = Transactions(most_open=2, most_kept=3)
+    peer.begin(None)
+    peer.begin(None)
+    with pytest.raises(Full):
+        peer.begin(None)
+    for number in range(1, 6):
+        peer.receive(0, text.Request(number, REQUEST.actions))
+    assert list(peer.served) == [3, 4, 5] and peer.forgotten_early == 2
+
+
+def test_acknowledgements_are_gathered() -> None:
+    peer = Transactions()
+    for _ in range(40):
+        peer.receive(0, text.Reply(peer.begin(None)))
+    assert peer.acks() == "TransactionResponseAck{1-40}"
+    assert peer.acks() == ""
+
+
+def session() -> tuple[Session, list[bytes]]:
+    out: list[bytes] = []
+    return Session("<a1>", Transactions(), out.append), out
+
+
+def message(body: str, mid: str = "<g1>") -> bytes:
+    return frame(f"MEGACO/1 {mid}\n{body}".encode())
+
+
+@pytest.mark.parametrize(
+    ("body", "answer"),
+    [
+        ("Transaction=9{Context=-{Dance=x}}", 'Reply=9{Error=443{"line 2, column 27'),
+        ("Dance=1{}", 'Error=403{"line 2, column 1'),
+    ],
+)
+def test_a_garbled_message_is_answered_and_the_next_one_read(body: str, answer: str) -> None:
+    one, out = session()
+    heard = one.feed(0, message(body) + message("Transaction=10{Context=-{AuditValue=ROOT}}"))
+    assert isinstance(heard[0], Garbled) and isinstance(heard[1], New)
+    assert answer.split("{")[0] in out[0].decode() and answer.split('"')[-1].split(",")[0] in out[0].decode()
+
+
+def test_garbled_without_end_is_given_up() -> None:
+    one, _ = session()
+    with pytest.raises(BadPeer):
+        one.feed(0, message("Dance") * 30)
+
+
+def test_a_peer_keeps_its_name() -> None:
+    one, _ = session()
+    one.feed(0, message("Pending=1{}"))
+    with pytest.raises(BadPeer):
+        one.feed(0, message("Pending=1{}", "<g2>"))
+
+
+def test_a_repeat_over_a_new_connection_gets_the_same_reply() -> None:
+    kept = Transactions()
+    answers = []
+    for _ in range(2):
+        out: list[bytes] = []
+        one = Session("<a1>", Transactions(), out.append, bind=lambda mid: kept)
+        heard = one.feed(0, message("Transaction=4{Context=-{AuditValue=ROOT}}"))
+        if heard:
+            one.reply(4, "Reply=4{Context=-{AuditValue=ROOT}}")
+        answers.append(out)
+    assert answers[0] == answers[1] and len(answers[0]) == 1
+
+
+ASKED = SetUpAsked(
+    "c/1", "reel-render", 57, 3_600_000_000, "dn.k 2", 2, 9, True, True, True, "team", "g1/1", 3
+)
+
+
+def test_a_set_up_reads_back() -> None:
+    part = text.parse(b"MEGACO/1 x " + package.add_text(8, ASKED).encode()).parts[0]
+    assert isinstance(part, text.Request) and part.id == 8
+    assert package.read_add(part.actions[0].commands[0]) == ASKED
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "fault"),
+    [
+        ("ptc/abn", None, "ptc/abn is missing"),
+        ("ptc/abn", "0", "ptc/abn"),
+        ("ptc/abn", "1e9", "ptc/abn"),
+        ("ptc/dst", "-2", "ptc/dst"),
+        ("ptc/wid", "0", "ptc/wid"),
+        ("ptc/wid", "\u00b2", "ptc/wid"),
+        ("ptc/trn", "maybe", "ptc/trn"),
+        ("ptc/brt", "", "ptc/brt is missing"),
+        ("ptc/via", "9" * 30, "ptc/via"),
+    ],
+)
+def test_bad_values_of_a_set_up(name: str, value: str | None, fault: str) -> None:
+    items = {"ptc/brt": "line", "ptc/dst": "1", "ptc/abn": "5"} | ({name: value} if value is not None else {})
+    if value is None:
+        del items[name]
+    control = text.Item("LocalControl", None, [text.Item(key, one) for key, one in items.items()])
+    with pytest.raises(BadValue, match=fault):
+        package.read_add(text.Command("Add", "c/1", [text.Item("Media", None, [control])]))
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        Outcome(0, "17", load={"free": 3, "size": 30, "queue": 0, "rate": 12.5}),
+        Outcome(510, "-", "refused", "processor_full", 500_000_000, 2_000, {"free": 0.0}),
+        Outcome(530, "-", "failed"),
+    ],
+)
+def test_an_outcome_reads_back(outcome: Outcome) -> None:
+    part = text.parse(b"MEGACO/1 x " + package.outcome_text(3, "c/1", outcome).encode()).parts[0]
+    assert isinstance(part, text.Reply)
+    read = package.read_outcome(part)
+    assert (read.code, read.cause, read.come_back, read.wait) == (
+        outcome.code,
+        outcome.cause,
+        outcome.come_back,
+        outcome.wait,
+    )
+    assert (read.load or {}) == (outcome.load or {})
+
+
+@pytest.mark.parametrize(
+    ("reply", "code"),
+    [
+        ("Reply=1{Context=5{Add=t}}", 0),
+        ("Reply=1{Context=-{Add=t}}", 500),  # it stands, in no context
+        ('Reply=1{Error=406{"x"}}', 406),
+        ('Reply=1{Context=5{Error=411{"x"}}}', 411),
+        ("Reply=1{Context=5}", 500),
+    ],
+)
+def test_odd_replies_never_count_as_standing(reply: str, code: int) -> None:
+    part = text.parse(f"MEGACO/1 x {reply}".encode()).parts[0]
+    assert isinstance(part, text.Reply) and package.read_outcome(part).code == code
--- /dev/null
+++ b/tests/rehearsal/test_nights.py
@@ -0,0 +1,54 @@
+"""Drawn nights in CI size, and one small day over real sockets with agents in processes of their own."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from peattrestle.rehearsal.nights import play_many
+from peattrestle.rehearsal.play import play
+from peattrestle.rehearsal.script import KINDS, Bearer, Fleet, Script, Trouble
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+
+def test_two_hundred_drawn_nights() -> None:
+    nights = list(play_many(range(1, 201), min(8, os.cpu_count() or 1)))
+    assert [(one.seed, one.faults) for one in nights if not one.passed] == []
+    for rule in nights[0].examined:
+        assert sum(one.examined[rule] for one in nights) > 0, f"{rule}: not judged in any night"
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_each_kind_of_trouble_alone(kind: str) -> None:
+    figure = {"slow": 3.0, "surge": 1.8, "late_replies": 0.3}.get(kind, 0.4)
+    script = Script(
+        seed=11,
+        length=6 * SECOND,
+        fleet=Fleet(exchanges=4, calls_a_second=5.0, busy=0.6, no_group=0.2),
+        bearer=(Bearer(label="line", holding=2 * SECOND),),
+        trouble=(Trouble(label=kind, kind=kind, at=SECOND, length=3 * SECOND, share=0.25, figure=figure),),
+    )
+    result = play(script, "virtual")
+    assert result.troubles == {kind: 1}
+    faults = [(one.rule, one.breaches[0].text) for one in result.verdicts if one.broken]
+    faults += [(one.name, one.text) for one in result.checks if not one.passed]
+    assert faults == []
+
+
+def test_real_sockets_with_an_agent_killed(tmp_path: Path) -> None:
+    script = Script(
+        seed=3,
+        length=4 * SECOND,
+        fleet=Fleet(exchanges=3, regions=("a",), calls_a_second=8.0, busy=0.4, no_group=0.0),
+        bearer=(Bearer(label="line", holding=SECOND, abandon_time=4 * SECOND),),
+        trouble=(Trouble(label="killed", kind="kill_agent", at=SECOND, length=SECOND, who=(1,)),),
+    )
+    result = play(replace(script, calls=60), "epoll", tmp_path)
+    broken = [(one.rule, one.breaches[0].text) for one in result.verdicts if one.broken]
+    assert broken == []
+    assert result.callers["stood"] > 30
--- a/tests/runtime/test_kernels.py
+++ b/tests/runtime/test_kernels.py
@@ -44,6 +44,7 @@
         with contextlib.suppress(Exception):
             yield from task.join()
         kernel.stop()
+
     kernel.spawn(end(), "end")
     kernel.run(kernel.now() + 20_000 * MS)
     assert task.done, "it hangs"
@@ -79,6 +80,7 @@
         kernel.at(at, lambda: seen.append("never")).cancel()
         kernel.at_turn_end(lambda: seen.append("turn"))
         yield from kernel.sleep(10 * MS)
+
     run(kernel, body())
     assert seen == ["turn", "first", "a", "b", "c"]
 
@@ -94,6 +96,7 @@
                 timer.cancel()
         assert len(kernel._heap) < 5_000
         yield from kernel.sleep(400 * MS)
+
     run(kernel, body())
     assert fired == list(range(0, 50_000, 50))
 
@@ -111,9 +114,15 @@
         sleeper = kernel.spawn(kernel.sleep(5000 * MS), "sleeper")
         here.write(b"x" * 12_000_000)
         bodies: dict[str, Callable[[], Coroutine[Any]]] = {
-            "sleep": lambda: kernel.sleep(5000 * MS), "event": Event(kernel).wait, "queue get": queue.get,
-            "queue put": lambda: queue.put(2), "read": here.read, "drain": lambda: here.drain(1),
-            "accept": listener.accept, "join": sleeper.join}
+            "sleep": lambda: kernel.sleep(5000 * MS),
+            "event": Event(kernel).wait,
+            "queue get": queue.get,
+            "queue put": lambda: queue.put(2),
+            "read": here.read,
+            "drain": lambda: here.drain(1),
+            "accept": listener.accept,
+            "join": sleeper.join,
+        }
         if where == "queue put":
             queue.offer(1)
         try:
@@ -132,6 +141,7 @@
         task.cancel()
         yield from kernel.sleep(20 * MS)
         assert task.done
+
     run(kernel, body())
     assert seen == ["cancelled"]
     assert not kernel.crashes
@@ -153,6 +163,7 @@
         for _ in range(3):
             out.append((yield from queue.get()))
         return out
+
     assert run(kernel, body()) == [1, 2, 4]
 
 
@@ -169,6 +180,7 @@
             yield from kernel.within(50 * MS, bad())
         with pytest.raises(TimedOut):
             yield from kernel.within(5 * MS, kernel.sleep(5000 * MS))
+
     run(kernel, body())
     assert [name for name, _ in kernel.crashes] == ["alone"]
 
@@ -181,11 +193,12 @@
         for at in range(0, len(sent), 50_000):
             here.write(sent[at : at + 50_000])
         yield from kernel.sleep(50 * MS)
-        assert here.unsent > 0      # a peer that does not read leaves them with the writer
+        assert here.unsent > 0  # a peer that does not read leaves them with the writer
         here.finish()
         got = yield from read_all(there)
         yield from here.drain(1)
         return got
+
     assert run(kernel, body()) == sent
 
 
@@ -198,6 +211,7 @@
         there.write(b"answer")
         there.finish()
         return question, (yield from read_all(here))
+
     assert run(kernel, body()) == (b"question", b"answer")
 
 
@@ -218,7 +232,7 @@
             here.write(b"b")
         yield from kernel.sleep(50 * MS)
         if how == "write after the peer is gone":
-            assert reader.result == b""     # its end first, then the reset
+            assert reader.result == b""  # its end first, then the reset
             with pytest.raises(Lost):
                 yield from here.read()
                 yield from here.read()
@@ -227,6 +241,7 @@
                 yield from reader.join()
         here.write(b"thrown away")
         assert here.unsent == 0
+
     run(kernel, body())
 
 
@@ -240,6 +255,7 @@
             yield from kernel.connect(address, 500 * MS)
         with pytest.raises(Lost):
             yield from listener.accept()
+
     run(kernel, body())
 
 
@@ -269,6 +285,7 @@
         def serve() -> Coroutine[None]:
             while True:
                 taken.append((yield from listener.accept()))
+
         kernel.spawn(serve(), "serve")
         clients = []
         for _ in range(3):
@@ -293,6 +310,7 @@
         yield from kernel.sleep(100 * MS)
         assert len(taken) == 4
         return listener.shed, end
+
     assert run(kernel, body()) == (1, b"")
     kernel.close()
 
@@ -309,6 +327,7 @@
         here.finish()
         while data := (yield from there.read()):
             got.append(data)
+
     run(kernel, body())
     return got, kernel.now()
 
@@ -344,5 +363,6 @@
         with pytest.raises(Refused):
             yield from kernel.connect("127.0.0.1:7000", 100 * MS)
         yield from kernel.sleep(100 * MS)
+
     run(kernel, body())
     assert seen == []
--- /dev/null
+++ b/tests/settings/test_settings.py
@@ -0,0 +1,99 @@
+from __future__ import annotations
+
+import pytest
+
+from peattrestle.rehearsal.script import load as load_script
+from peattrestle.settings import schema
+from peattrestle.settings.agent import Agent, parse
+
+GOOD = """
+agent "a3" {
+  number  = 3
+  agents  = 8
+  callers = "127.0.0.1:7003"
+  list    = "127.0.0.1:7000"
+  rules { release_time = "250ms" }
+  bearer "line" { gos_target = "1.5s" }
+}
+"""
+
+
+def test_a_good_file_and_its_defaults() -> None:
+    agent, faults = parse(GOOD, "x.hcl")
+    assert faults == [] and agent is not None
+    assert (agent.label, agent.rules.release_time, agent.rules.drain_grace) == (
+        "a3",
+        250_000_000,
+        1_000_000_000,
+    )
+    assert [(one.label, one.gos_target) for one in agent.bearer] == [("line", 1_500_000_000)]
+
+
+def test_what_is_shown_reads_back_to_the_same() -> None:
+    agent, _ = parse(GOOD, "x.hcl")
+    assert parse(schema.to_hcl(agent, "agent"), "y.hcl") == (agent, [])
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "said"),
+    [
+        ("number  = 3", "", 2, "needs 'number'"),
+        ("number  = 3", "numbr = 3", 3, "the nearest known name is 'number'"),
+        ("number  = 3", 'number = "3"', 3, "must be a whole number from 0 to 1e+06"),
+        ("number  = 3", "number = true", 3, "must be a whole number"),
+        ("number  = 3", "number = 3\n number = 4", 4, "set twice, first in line 3"),
+        ('"127.0.0.1:7003"', '"10.0.0.1:7003"', 5, "must be a loopback address"),
+        ('"127.0.0.1:7003"', '"127.0.0.1:99999"', 5, "must be a loopback address"),
+        ('"250ms"', '"250"', 7, 'must be a duration in quotes, like "300ms", from 0ns to 1min'),
+        ('"250ms"', "250", 7, "must be a duration"),
+        ('"250ms"', '"2min"', 7, "must be a duration"),
+        (
+            "release_time",
+            "relese_time",
+            7,
+            "is not a setting of rules; the nearest known name is 'release_time'",
+        ),
+        ('bearer "line"', "bearer", 8, "needs one name in quotes"),
+        ('bearer "line"', 'barer "line"', 8, "the nearest known name is 'bearer'"),
+        ('"1.5s"', '"30s"', 2, "gos_target is longer than abandon_time"),
+        ('agent "a3" {', 'agent "a3" {\n rules { }', 8, "'rules' stands twice"),
+        ('agent "a3"', 'agent "a 3"', 2, "needs one name"),
+        ("agents  = 8", "agents = = 8", 4, "not HCL"),
+        ("}\n}", "}", 9, "not HCL"),
+    ],
+)
+def test_each_fault_with_its_line_and_what_would_be_right(old: str, new: str, line: int, said: str) -> None:
+    assert old in GOOD
+    agent, faults = parse(GOOD.replace(old, new, 1), "x.hcl")
+    assert agent is None
+    assert any(fault.line == line and said in str(fault) for fault in faults), [str(one) for one in faults]
+
+
+def test_all_faults_at_once() -> None:
+    bad = GOOD.replace("number  = 3", "number = -1").replace('"250ms"', "true").replace("1.5s", "x")
+    _, faults = parse(bad, "x.hcl")
+    assert [fault.line for fault in faults] == [3, 7, 8]
+
+
+@pytest.mark.parametrize("text", ["", "# nothing\n", 'other "x" { }', "agent = 3"])
+def test_a_file_without_an_agent(text: str) -> None:
+    agent, faults = parse(text, "x.hcl")
+    assert agent is None and faults
+
+
+def test_a_file_that_is_not_there() -> None:
+    assert load_script("/nowhere/x.hcl")[1][0].text.startswith("can't be read")
+
+
+@pytest.mark.parametrize(
+    ("text", "nanoseconds"), [("1ns", 1), ("1.5s", 1_500_000_000), ("2 min", 120_000_000_000), ("0ms", 0)]
+)
+def test_durations(text: str, nanoseconds: int) -> None:
+    assert schema.duration_of(text) == nanoseconds
+    assert schema.duration_of(schema.show_duration(nanoseconds)) == nanoseconds
+
+
+def test_defaults_are_within_their_bounds() -> None:
+    agent, _ = parse(GOOD, "x.hcl")
+    assert isinstance(agent, Agent)
+    assert agent.links.retry_least < agent.links.retry_most
