--- a/peattrestle/runtime/epoll.py
+++ b/peattrestle/runtime/epoll.py
@@ -51,7 +51,7 @@
         self.kernel, self.sock, self.fd, self.mask, self.wake = kernel, sock, sock.fileno(), 0, wake
 
     def want(self, mask: int) -> None:
-        if self.fd < 0 or mask == self.mask:
+        if self.fd < 0 or mask == self.mask or self.kernel.epoll.closed:
             return
         if self.mask == 0:
             self.kernel.epoll.register(self.fd, mask)
--- a/peattrestle/runtime/kernel.py
+++ b/peattrestle/runtime/kernel.py
@@ -401,7 +401,7 @@
         """Cancels all tasks and lets them end."""
         for task in list(self.tasks):
             task.cancel()
-        for _ in range(1000):
+        for _ in range(10 * len(self.tasks) + 1000):  # one that will not end is left behind
             if not self.ready:
                 break
             self.ready.popleft().step()
--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -499,15 +499,16 @@
             self.refuse(side, held, "turned_back")
             return
         self.onward[held.onward] = (side, held)
-        self.fabric.record.add(
-            self.kernel.now(),
-            "asked",
-            self.name,
-            own.name,
-            held.onward,
-            onward.reference,
-            value=self.kernel.now() + onward.patience,
-        )
+        if not self.flags.mute:  # else nothing of it was seen at any socket
+            self.fabric.record.add(
+                self.kernel.now(),
+                "asked",
+                self.name,
+                own.name,
+                held.onward,
+                onward.reference,
+                value=self.kernel.now() + onward.patience,
+            )
 
     def stray(self, side: AgentSide, number: int) -> None:
         """A second answer to a transit call, or one to nothing."""
