Slow calls are said to be pending; debug lines by call; tests of the bounds at the door

Need: H.248 has a word for a request that takes long, the log had no line by call, and the agent's bounds were untested.

Change: one Pending for a call without an answer after limits.pending_after; at log level debug a line for each set-up, its outcome and the final answer, with call, reference, route try and exchange; tests against an agent on the virtual kernel with a hand-made gateway: calls, connections and unread bytes at their bounds, strangers.

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -66,6 +66,7 @@
         self.groups: dict[int, package.GroupFree] = {}
         self.counts = Counts()
         self.connections = 0
+        self.tracing = settings.log_level == "debug"
         self.open_for_calls = Event(kernel)
         self.address = ""
         self.listener: Listener | None = None
@@ -218,6 +219,7 @@
         call.overdue = self.kernel.at(
             call.abandon_at - self.settings.rules.answer_margin // 2, lambda: self.overdue(call)
         )
+        call.pending = self.kernel.at(now + self.settings.limits.pending_after, lambda: self.still_at(call))
         via = asked.origin if transit else asked.via
         self.post(
             api.CallArrived(
@@ -235,6 +237,11 @@
             )
         )
 
+    def still_at(self, call: Call) -> None:
+        """H.248's word for a slow request, said once; the final answer is still to come."""
+        if call.state == OPEN and call.asker.session is not None:
+            call.asker.session.send(f"Pending={call.transaction}{{}}")
+
     def overdue(self, call: Call) -> None:
         """The last line of rule 1: the module has left a call without an answer. A fault, and answered."""
         if call.state == OPEN:
@@ -302,8 +309,9 @@
 
     def forget(self, call: Call) -> None:
         call.state = OVER
-        if call.overdue is not None:
-            call.overdue.cancel()
+        for timer in (call.overdue, call.pending):
+            if timer is not None:
+                timer.cancel()
         self.calls.pop(call.id, None)
         call.asker.calls.pop(call.asked.termination, None)
         self.guard.over(call.id)
@@ -365,6 +373,8 @@
             self.unsent(call, number, action.exchange)
             return
         self.counts.add("route_tries")
+        if self.tracing:
+            self.trace("set-up", one, patience_ms=action.patience // MS)
         call.out = self.terminations[one.termination] = one
         one.timer = self.kernel.at(now + action.patience, lambda: self.timed_out(one))
 
@@ -392,6 +402,8 @@
         """The one outcome of a route try that did not stand."""
         now = self.kernel.now()
         one.call.cause = cause
+        if self.tracing:
+            self.trace("route try ended", one, result=result, cause=cause)
         self.end_try(one, free)
         self.guard.try_ended(now, one.call.id, cut_off)
         self.post(
@@ -421,6 +433,17 @@
         if free:
             one.link.release(one.context, one.termination, one.call.id)
 
+    def trace(self, text: str, one: RouteTry, **fields: object) -> None:
+        self.log(
+            "debug",
+            text,
+            call=one.call.id,
+            reference=one.call.asked.reference,
+            route_try=one.number,
+            exchange=one.exchange,
+            **fields,
+        )
+
     def answer_number(self, number: int, outcome: Outcome) -> None:
         call = self.calls.get(number)
         if call is not None and call.state == OPEN:
@@ -439,6 +462,8 @@
             )
         else:
             kind = {0: "stood", package.REFUSED: "refused"}.get(outcome.code, "failed")
+            if self.tracing:
+                self.log("debug", "final answer", call=call.id, reference=call.asked.reference, answer=kind)
             self.counts.add(("transit_" if call.asker is self.own else "") + kind)
             call.asker.reply(
                 call.transaction, package.outcome_text(call.transaction, call.asked.termination, outcome)
@@ -447,8 +472,10 @@
             if call.standing is not None:
                 self.end_try(call.standing, free=True)
             self.forget(call)
-        elif call.overdue is not None:
-            call.overdue.cancel()
+        else:
+            for timer in (call.overdue, call.pending):
+                if timer is not None:
+                    timer.cancel()
 
     # Links and their news.
 
@@ -541,6 +568,8 @@
         if one.timer is not None:
             one.timer.cancel()
         one.state, one.context = "stands", outcome.context
+        if self.tracing:
+            self.trace("stands", one, ms=(now - one.sent_at) // MS)
         call.out, call.standing, call.state = None, one, STANDS
         self.guard.try_ended(now, call.id, False)
         self.post(api.Stood(call.id, one.exchange, now - one.sent_at, one.number))
--- a/peattrestle/agent/calls.py
+++ b/peattrestle/agent/calls.py
@@ -46,6 +46,7 @@
     out: RouteTry | None = None
     standing: RouteTry | None = None
     overdue: Timer | None = None
+    pending: Timer | None = None
     cause: str = ""  # of the last route try that did not stand
 
 
--- a/peattrestle/settings/agent.py
+++ b/peattrestle/settings/agent.py
@@ -50,6 +50,9 @@
     connections: int = schema.whole(1_000, 1, 100_000, "connections of gateways; more are closed at once")
     unread: int = schema.whole(1 << 20, 4096, 1 << 28, "bytes a peer may leave unread before it is cut off")
     message: int = schema.whole(16_384, 256, 65_531, "bytes of one message")
+    pending_after: int = schema.duration(
+        "500ms", "1ms", "1min", "a call without an answer after this has its asker told that it is under way"
+    )
     open_requests: int = schema.whole(20_000, 1, 1_000_000, "requests open to one peer")
     kept_replies: int = schema.whole(50_000, 100, 10_000_000, "replies kept for one peer's repeated requests")
     gateways: int = schema.whole(1_000, 1, 100_000, "gateways whose kept replies are remembered")
--- /dev/null
+++ b/tests/agent/test_bounds.py
@@ -0,0 +1,185 @@
+"""Bounds at the door, slow requests, and the log's lines, against an agent on the virtual kernel."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from peattrestle.agent.agent import CallAgent
+from peattrestle.h248 import package
+from peattrestle.h248.package import SetUpAsked
+from peattrestle.h248.session import Heard, Session
+from peattrestle.h248.transactions import Answered, Slow, Transactions
+from peattrestle.rehearsal.script import Bearer, Fleet, Script
+from peattrestle.rehearsal.world import World
+from peattrestle.runtime import Coroutine, Lost, Stream
+from peattrestle.runtime.virtual import Network, VirtualKernel
+from peattrestle.settings.agent import Limits
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+SCRIPT = Script(
+    length=SECOND, fleet=Fleet(exchanges=2, regions=("a",), no_group=0.0), bearer=(Bearer(label="line"),)
+)
+
+
+class Town:
+    """Two exchanges, an agent beside the first, and a hand-made gateway."""
+
+    def __init__(self, limits: Limits, log_level: str = "info") -> None:
+        self.kernel = VirtualKernel(1, Network(window=8192))
+        self.world = World(self.kernel, SCRIPT)
+        self.logs: list[tuple[str, str, dict[str, Any]]] = []
+        settings = replace(self.world.agent_settings(0, "127.0.0.1:2944"), limits=limits, log_level=log_level)
+        self.agent = CallAgent(
+            self.kernel, settings, lambda level, text, **fields: self.logs.append((level, text, fields))
+        )
+        self.agent.start()
+        self.heard: list[Heard] = []
+
+    def gateway(self, name: str = "g0") -> Coroutine[tuple[Session, Stream]]:
+        stream = yield from self.kernel.connect("127.0.0.1:2944", SECOND, name)
+        session = Session(f"<{name}>", Transactions(), stream.write)
+        session.request("hello", lambda number: package.service_change_text(number, "Restart", "901"))
+        return session, stream
+
+    def listen(self, session: Session, stream: Stream) -> Coroutine[None]:
+        while data := (yield from stream.read()):
+            self.heard += session.feed(self.kernel.now(), data)
+
+    def call(self, session: Session, number: int) -> None:
+        asked = SetUpAsked(f"c/{number}", "line", 1, 3 * SECOND, reference=f"g0/{number}")
+        session.request(number, lambda transaction: package.add_text(transaction, asked))
+
+    def run(self, body: Coroutine[Any]) -> Any:
+        task = self.kernel.spawn(body, "test", watch=False)
+        self.kernel.run(self.kernel.now() + 10 * SECOND)
+        assert task.done
+        if task.error is not None:
+            raise task.error
+        return task.result
+
+    def answers(self) -> dict[int, tuple[int, int]]:
+        out = {}
+        for one in self.heard:
+            if isinstance(one, Answered) and isinstance(one.kept, int):
+                outcome = package.read_outcome(one.reply)
+                out[one.kept] = (outcome.code, outcome.come_back)
+        return out
+
+
+def test_calls_beyond_the_bound_are_refused_at_once_and_told_when_to_come_back() -> None:
+    town = Town(Limits(calls=2))
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen")
+        for number in range(4):
+            town.call(session, number)
+        yield from town.kernel.sleep(10 * MS)
+        assert town.answers() == {2: (510, 2 * SECOND), 3: (510, 2 * SECOND)}
+        yield from town.kernel.sleep(2 * SECOND)
+
+    town.run(body())
+    assert [town.answers()[number][0] for number in (0, 1)] == [0, 0]
+    assert town.agent.counts.values["refused_at_bound"] == 2
+
+
+def test_a_connection_beyond_the_bound_is_closed_and_the_first_goes_on() -> None:
+    town = Town(Limits(connections=1))
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen")
+        _, second = yield from town.gateway("g1")
+        with contextlib.suppress(Lost):  # the greeting may meet a closed door, which is a reset
+            assert (yield from second.read()) == b""
+        town.call(session, 1)
+        yield from town.kernel.sleep(2 * SECOND)
+
+    town.run(body())
+    assert town.answers()[1][0] == 0
+
+
+def test_a_gateway_that_never_reads_is_cut_off_and_holds_up_nobody() -> None:
+    town = Town(Limits(unread=4096))
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        deaf, deaf_stream = yield from town.gateway("deaf")
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen")
+        for number in range(2000):
+            deaf.request(
+                None, lambda number: f"Transaction={number}{{Context=-{{AuditValue=ROOT{{Audit{{}}}}}}}}"
+            )
+            if number % 50 == 0:
+                yield from town.kernel.sleep(5 * MS)
+        town.call(session, 1)
+        yield from town.kernel.sleep(2 * SECOND)
+        with pytest.raises(Lost):
+            while (yield from deaf_stream.read()):
+                pass
+
+    town.run(body())
+    assert town.answers()[1][0] == 0
+    assert any(text == "gateway gone" and "unread" in fields["why"] for _, text, fields in town.logs)
+
+
+@pytest.mark.parametrize(
+    "garbage", [b"GET / HTTP/1.1\r\n\r\n", b"\x03\x00\x00\x00", b"\x03\x00\xff\xff" + b"x" * 99]
+)
+def test_nobody_notices_a_stranger(garbage: bytes) -> None:
+    town = Town(Limits())
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen")
+        stranger = yield from town.kernel.connect("127.0.0.1:2944", SECOND)
+        stranger.write(garbage)
+        town.call(session, 1)
+        yield from town.kernel.sleep(2 * SECOND)
+
+    town.run(body())
+    assert town.answers()[1][0] == 0
+    assert town.agent.counts.values["bad_peers"] == 1
+
+
+def test_a_slow_call_is_said_to_be_under_way_once_and_then_answered() -> None:
+    town = Town(Limits(pending_after=200 * MS))
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        town.world.fabric.exchanges[1].processor.silent = True
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen")
+        town.call(session, 1)
+        yield from town.kernel.sleep(3 * SECOND)
+
+    town.run(body())
+    kinds = [type(one).__name__ for one in town.heard if getattr(one, "kept", None) == 1]
+    assert kinds == [Slow.__name__, Answered.__name__]
+    assert town.answers()[1][0] == 510  # its try timed out, and a set-up that may be repeated is refused
+
+
+def test_debug_lines_carry_call_route_try_and_exchange() -> None:
+    town = Town(Limits(), "debug")
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen")
+        town.call(session, 1)
+        yield from town.kernel.sleep(2 * SECOND)
+
+    town.run(body())
+    lines = [(text, fields) for level, text, fields in town.logs if level == "debug"]
+    assert [text for text, _ in lines][:3] == ["set-up", "stands", "final answer"]
+    assert lines[0][1]["exchange"] == "x1" and lines[0][1]["route_try"] == 0
+    assert {fields["reference"] for _, fields in lines[:3]} == {"g0/1"}
