Test that bytes do not overtake those behind a cut on the virtual kernel

Need: of ten guards broken on purpose, the order of a healed connection was the one that no test saw broken.

Change: one test.

Measured: red with the guard taken out, green with it.

--- a/tests/runtime/test_kernels.py
+++ b/tests/runtime/test_kernels.py
@@ -366,3 +366,19 @@
 
     run(kernel, body())
     assert seen == []
+
+
+def test_bytes_do_not_overtake_those_that_wait_for_a_cut_to_heal() -> None:
+    kernel = VirtualKernel(4)
+
+    def body() -> Coroutine[bytes]:
+        here, there, _ = yield from pair(kernel)
+        kernel.network.cut = lambda source, address: True
+        here.write(b"first")
+        yield from kernel.sleep(30 * MS)
+        kernel.network.cut = lambda source, address: False
+        here.write(b"second")
+        here.finish()
+        return (yield from read_all(there))
+
+    assert run(kernel, body()) == b"firstsecond"
