--- a/peattrestle/settings/agent.py
+++ b/peattrestle/settings/agent.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from pathlib import Path
 
 from peattrestle.settings import schema
-from peattrestle.settings.hcl import Fault, read
+from peattrestle.settings.hcl import Block, Fault, read, read_file
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -114,16 +113,15 @@
 
 def load(path: str) -> tuple[Agent | None, list[Fault]]:
     """The one agent of a file, or every fault in it. Nothing is raised for what is in the file."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as fault:
-        reason = fault.strerror if isinstance(fault, OSError) else "is not UTF-8"
-        return None, [Fault(path, 0, f"can't be read: {reason}")]
-    return parse(text, path)
+    return from_block(*read_file(path), path)
 
 
 def parse(text: str, path: str) -> tuple[Agent | None, list[Fault]]:
-    top, faults = read(text, path)
+    """The same of a text; `path` is named in the faults."""
+    return from_block(*read(text, path), path)
+
+
+def from_block(top: Block, faults: list[Fault], path: str) -> tuple[Agent | None, list[Fault]]:
     if faults:
         return None, faults
     file, faults = schema.check(File, top, path)
--- a/peattrestle/settings/hcl.py
+++ b/peattrestle/settings/hcl.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 
@@ -37,6 +38,16 @@
 MOST_BYTES = 1 << 20
 
 
+def read_file(path: str) -> tuple[Block, list[Fault]]:
+    """As `read`, of a file; one that can't be read is a fault like any other."""
+    try:
+        return read(Path(path).read_text(encoding="utf-8"), path)
+    except OSError as fault:
+        return Block("", (), 1), [Fault(path, 0, f"can't be read: {fault.strerror}")]
+    except UnicodeDecodeError:
+        return Block("", (), 1), [Fault(path, 0, "can't be read: is not UTF-8")]
+
+
 def read(text: str, file: str) -> tuple[Block, list[Fault]]:
     """The file's top as a block without a name. Faults of form are returned, never raised."""
     top = Block("", (), 1)
