--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
@@ -114,6 +115,11 @@
             self.waiting.append(data)
             return
         if flags.garble and exchange.draw.random() < flags.garble:
+            asked = re.search(rb"Add=(n/[^{]*)", data)
+            if asked is not None and self.side is not None:
+                # Whoever can't read a request's number can't answer it; its asker finds out by its own time.
+                now, termination = exchange.kernel.now(), asked.group(1).decode()
+                exchange.fabric.record.add(now, "dropped", exchange.name, self.side.name, termination)
             at = exchange.draw.randrange(4, len(data))
             data = data[:at] + bytes([exchange.draw.choice(b'{}"=,\x00\xff')]) + data[at + 1 :]
         if flags.late_replies and b"Reply=" in data:
