Set-ups that waited behind a cut are not charged to their origin all at once

Need: night 2937 had a cold exchange pushed over by fifteen set-ups of its own agent in ten milliseconds; they had been sent over seconds, and the stand-in charged the origin's processor when the cut healed.

--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -370,7 +370,9 @@
             if held.state == "working":
                 self.worked(side, held)
 
-        if origin is None or origin is self:
+        # What waited behind a cut was sent on by its origin's processor long ago, not all at once when it heals.
+        waited = self.kernel.now() - self.seen_at > 5_000_000
+        if origin is None or origin is self or waited:
             here()
         elif not origin.processor.set_up(figures.set_up, here, side.name):
             self.refuse(side, held, "processor_full")
