--- a/peattrestle/standin/exchange.py
+++ b/peattrestle/standin/exchange.py
@@ -370,7 +370,7 @@
             if held.state == "working":
                 self.worked(side, held)
 
-        # What waited behind a cut was sent on by its origin's processor long ago, not all at once when it heals.
+        # What waited behind a cut passed its origin's processor long ago, not when it heals.
         waited = self.kernel.now() - self.seen_at > 5_000_000
         if origin is None or origin is self or waited:
             here()
