Connections reset in each state of a call, on either side

Change: a table of tests: asked, out, standing, releasing; the exchange's and the gateway's connection.

Measured: eight cases; red with releases forgotten at a lost link.

--- a/tests/agent/test_bounds.py
+++ b/tests/agent/test_bounds.py
@@ -40,9 +40,9 @@
         self.agent.start()
         self.heard: list[Heard] = []
 
-    def gateway(self, name: str = "g0") -> Coroutine[tuple[Session, Stream]]:
+    def gateway(self, name: str = "g0", first: int = 1) -> Coroutine[tuple[Session, Stream]]:
         stream = yield from self.kernel.connect("127.0.0.1:2944", SECOND, name)
-        session = Session(f"<{name}>", Transactions(), stream.write)
+        session = Session(f"<{name}>", Transactions(first), stream.write)
         session.request("hello", lambda number: package.service_change_text(number, "Restart", "901"))
         return session, stream
 
@@ -183,3 +183,51 @@
     assert [text for text, _ in lines][:3] == ["set-up", "stands", "final answer"]
     assert lines[0][1]["exchange"] == "x1" and lines[0][1]["route_try"] == 0
     assert {fields["reference"] for _, fields in lines[:3]} == {"g0/1"}
+
+
+@pytest.mark.parametrize("side", ["exchange", "gateway"])
+@pytest.mark.parametrize("state", ["asked", "out", "stands", "releasing"])
+def test_a_connection_reset_in_each_state_of_a_call(side: str, state: str) -> None:
+    """One final answer at most, none after the caller is gone, and nothing held by anybody in the end."""
+    town = Town(Limits())
+    exchange = town.world.fabric.exchanges[1]
+
+    def reset(stream: Stream) -> None:
+        if side == "gateway":
+            stream.abort()
+        else:
+            for connection in list(exchange.connections):
+                connection.stream.abort()
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen", watch=False)
+        yield from town.kernel.sleep(20 * MS)
+        town.call(session, 1)
+        if state == "asked":
+            reset(stream)
+        elif state == "out":
+            yield from town.kernel.sleep(10 * MS)
+            assert exchange.agents["a0"].held
+            reset(stream)
+        while state in ("stands", "releasing") and not town.answers():
+            yield from town.kernel.sleep(MS)
+        if state == "releasing":
+            session.request("end", lambda number: package.subtract_text(number, "*", "c/1"))
+            yield from town.kernel.sleep(2 * MS)
+        if state in ("stands", "releasing"):
+            reset(stream)
+        yield from town.kernel.sleep(SECOND)
+        again, other = yield from town.gateway(first=1000)  # a gateway that has forgotten what it held
+        town.kernel.spawn(town.listen(again, other), "listen", watch=False)
+        yield from town.kernel.sleep(3 * SECOND)
+
+    town.run(body())
+    answers = [one for one in town.heard if isinstance(one, Answered) and one.kept == 1]
+    expected = {"gateway": {"asked": 0, "out": 0}}.get(side, {}).get(state, 1)
+    assert len(answers) == expected
+    assert town.agent.calls == {} and town.agent.terminations == {}
+    assert not exchange.agents["a0"].held and town.world.fabric.leaks() == 0
+    assert all(group.taken == 0 for group in town.world.fabric.groups.values())
+    assert town.agent.guard.refusals == {} and town.kernel.crashes == []
