A caller who leaves in the batch of its call is no fault of the module

Need: with a call and its end in one wake-up the module, told of both at once, still asks for the set-up of the first; the guard refused it and counted a fault. A transit call refused at the bound counted as a caller's.

Change: set-ups for calls that ended in the batch now handled are passed over; transit has its own count.

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -73,6 +73,7 @@
         self._next_call = 0
         self._events: list[api.Event] = []
         self._batching = False
+        self._just_left: set[int] = set()
         self._holding = max(one.holding for one in settings.bearer)
         self._bearers = {one.label for one in settings.bearer}
 
@@ -157,6 +158,7 @@
                     self.log("info", text, origin="module")
                 case api.FollowList():
                     pass  # the list's source pushes; see mapping.module_settings
+        self._just_left.clear()
 
     def cause(self, number: int) -> str:
         """What a tandem tells the exchange before it: who was full, itself or the processor beyond."""
@@ -198,7 +200,7 @@
         self.counts.add("transit_taken" if transit else "taken")
         if len(self.calls) >= self.settings.limits.calls:
             self.counts.add("refused_at_bound")
-            self.counts.add("refused")
+            self.counts.add("transit_refused" if transit else "refused")
             asker.reply(
                 number,
                 package.outcome_text(
@@ -278,6 +280,7 @@
     def caller_left(self, call: Call) -> None:
         """No answer is owed; a repeat of the request is told that it failed."""
         self.post(api.CallerLeft(call.id))
+        self._just_left.add(call.id)
         self.leave(call, "cancelled")
         call.asker.transactions.answer(
             call.transaction,
@@ -321,6 +324,8 @@
     def set_up(self, action: api.SetUp) -> None:
         now = self.kernel.now()
         call = self.calls.get(action.call)
+        if action.call in self._just_left:
+            return  # asked for by an event before the one that told of its end, in the same batch
         broken = self.guard.set_up(now, action.call, action.exchange)
         if broken or call is None:
             self.counts.add("guard_refusals")
--- a/tests/agent/test_bounds.py
+++ b/tests/agent/test_bounds.py
@@ -231,3 +231,25 @@
     assert not exchange.agents["a0"].held and town.world.fabric.leaks() == 0
     assert all(group.taken == 0 for group in town.world.fabric.groups.values())
     assert town.agent.guard.refusals == {} and town.kernel.crashes == []
+
+
+def test_a_caller_who_leaves_in_the_moment_of_asking_is_no_fault_of_the_module() -> None:
+    town = Town(Limits())
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        town.kernel.network.cut_up = 0.0
+        session, stream = yield from town.gateway()
+        town.kernel.spawn(town.listen(session, stream), "listen")
+        yield from town.kernel.sleep(20 * MS)
+        parts: list[bytes] = []
+        session._write = parts.append
+        town.call(session, 1)
+        session.request("end", lambda number: package.subtract_text(number, "*", "c/1"))
+        stream.write(b"".join(parts))  # both in one piece: one wake-up, one batch
+        yield from town.kernel.sleep(2 * SECOND)
+
+    town.run(body())
+    assert town.answers() == {}
+    assert town.agent.counts.values.get("guard_refusals", 0) == 0
+    assert town.agent.calls == {} and town.world.fabric.leaks() == 0
