--- a/peattrestle/h248/package.py
+++ b/peattrestle/h248/package.py
@@ -17,7 +17,7 @@
 # Published error codes that the call path uses.
 REFUSED, FAILED = 510, 530  # insufficient resources; temporary network failure
 UNKNOWN_TERMINATION, UNKNOWN_CONTEXT, TWICE = 430, 411, 433
-BAD_VALUE, NOT_READY = 449, 502
+BAD_VALUE = 449
 CAUSES = frozenset({"no_circuit", "turned_back", "beyond_full", "processor_full", "lines_busy"})
 LOAD = {"ptg/fre": "free", "ptg/siz": "size", "ptp/que": "queue", "ptp/rat": "rate"}
 MOST_DURATION = 1 << 62
--- a/peattrestle/rehearsal/hosts.py
+++ b/peattrestle/rehearsal/hosts.py
@@ -33,7 +33,6 @@
         self.killed: set[int] = set()
         self.runs = 0
         self.logs: list[tuple[int, str, str, str, dict[str, Any]]] = []
-        self.ended: list[dict[str, int]] = []
 
     def address(self, number: int) -> str:
         return f"127.2.{number // 250}.{number % 250 + 1}:2944"
@@ -60,7 +59,6 @@
     def kill(self, number: int) -> None:
         self.killed.add(number)
         if number in self.agents:
-            self.ended.append(self.agents[number].counts.values)
             self.processes[number].kill()
             del self.agents[number], self.processes[number]
 
--- a/peattrestle/rehearsal/play.py
+++ b/peattrestle/rehearsal/play.py
@@ -53,7 +53,6 @@
     troubles: dict[str, int]
     trace: str
     rows: list[Any] = field(default_factory=list)
-    worst: float = 0.0
 
     @property
     def passed(self) -> bool:
--- a/peattrestle/standin/callers.py
+++ b/peattrestle/standin/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -401,7 +400,3 @@
             if not sale.cut or sale.returned:
                 out.earned += bearer.revenue * (1.0 if delay <= bearer.gos_target else bearer.late_revenue)
     return out
-
-
-def seeded(seed: int, name: str) -> random.Random:
-    return random.Random(f"{seed}/{name}")
--- a/peattrestle/standin/fabric.py
+++ b/peattrestle/standin/fabric.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from peattrestle.runtime import Kernel
@@ -142,4 +142,3 @@
     late_replies: int = 0  # held back this long
     garble: float = 0.0  # share of replies with a byte changed
     reset_setups: float = 0.0  # share of set-ups on which the connection is reset
-    extra: dict[str, float] = field(default_factory=dict)
