Further tries known as such; those past the GoS target weigh their late revenue

Need: after a cut at 120% of plan, callers' repeats of what could no longer stand in time took the place of first calls, and service stayed down for half a minute. Change: storms/sight.py tells further tries by mark or by what was asked, bounded, under policy; Home.worth weighs a late one by its bearer type's late revenue in the windows.

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -216,6 +216,9 @@
             return
         self._next_call += 1
         call = Call(self._next_call, asker, number, asked, now, now + asked.patience)
+        if not transit:
+            wanted = (asker.name, asked.bearer_type, asked.destination, asked.number)
+            call.seen = self.controller.sight.asked(now, wanted, asked.repeat, asked.cut_before)
         self.calls[call.id] = asker.calls[asked.termination] = call
         self.guard.arrived(call.id, call.abandon_at)
         call.overdue = self.kernel.at(
@@ -236,6 +239,8 @@
                 asked.cut_before,
                 asked.repeat,
                 asked.customer,
+                "" if transit else asker.name,
+                call.seen,
             )
         )
 
--- a/peattrestle/agent/calls.py
+++ b/peattrestle/agent/calls.py
@@ -7,6 +7,7 @@
 
 from peattrestle.h248.package import SetUpAsked
 from peattrestle.runtime import Timer
+from peattrestle.storms.sight import Seen
 
 if TYPE_CHECKING:
     from peattrestle.agent.asker import Asker
@@ -48,6 +49,7 @@
     overdue: Timer | None = None
     pending: Timer | None = None
     cause: str = ""  # of the last route try that did not stand
+    seen: Seen | None = None  # first or further try; None in transit
 
 
 @dataclass(slots=True)
--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -28,6 +28,7 @@
 from math import inf
 
 from peattrestle import interface as api
+from peattrestle.storms.sight import Seen, Sight
 
 SECOND = 1_000_000_000
 
@@ -349,7 +350,7 @@
         if self.window < 1 and self.loop.now > self.cut_at:
             self.window = min(1.0, self.window + self.REOPEN * (self.loop.now - self.cut_at) / SECOND)
             self.cut_at = self.loop.now
-        worth = self.home.revenue.get(call.asked.bearer_type, 1.0) / self.home.mean_revenue
+        worth = self.home.worth(call)
         over = self.out + 1 - self.window * worth
         return over > 0 and self.loop.chance() < over
 
@@ -361,6 +362,7 @@
     asked: api.CallArrived
     arrived: int
     destination: Exchange
+    seen: Seen | None = None      # first or further try of its caller; None in transit
     routes: deque[Exchange] = field(default_factory=deque)
     out: Exchange | None = None   # the exchange that the one route try is out to
     tries: int = 0
@@ -404,6 +406,7 @@
         self.delays = DelayHistogram()
         self.followed = False
         self.lost, self.lost_halved_at = 0.0, 0
+        self.sight = Sight(max((int(get(f"abandon_time:{one}", SECOND)) for one in types), default=SECOND))
 
     def receive(self, note: Note) -> None:
         match note:
@@ -423,6 +426,8 @@
                 self.timer(token)
             case api.CallerLeft():
                 gone = self.calls.pop(note.call, None)
+                if gone is not None:
+                    self.unserved(gone)
                 if gone is not None and gone.out is not None:
                     self.unanswered(gone.out, self.loop.now - gone.sent_at)
 
@@ -456,6 +461,13 @@
         elif token.isdigit() and (call := self.calls.get(int(token))) is not None and call.out is None:
             self.offer(call)
 
+    def worth(self, call: Call) -> float:
+        """Of the mean revenue. Guards first calls against further tries that can no longer stand in time."""
+        name, first_at = call.asked.bearer_type, call.seen.first_at if call.seen else -1
+        late = 0 <= first_at < self.loop.now - self.target
+        share: float = self.loop.settings.get(f"late_revenue:{name}", 1.0) if late else 1.0
+        return share * self.revenue.get(name, 1.0) / self.mean_revenue
+
     def losses(self) -> float:
         """Set-ups that got no answer lately, at any exchange; halved, so that old ones fade."""
         halvings = (self.loop.now - self.lost_halved_at) // HALVE_EVERY
@@ -492,9 +504,19 @@
             if asked.transit and (origin := self.numbers.get(asked.via)) is not None:
                 # That exchange has no room to the destination, or it would not have sent the call this way.
                 self.record(asked.destination, origin).pause(self.loop.now)
-            self.calls[asked.call] = Call(asked, self.loop.now, destination)
+            seen = None if asked.transit else asked.seen or self.sight.asked(
+                self.loop.now, self.wanted(asked), asked.repeat, asked.cut_before)
+            self.calls[asked.call] = Call(asked, self.loop.now, destination, seen)
             self.offer(self.calls[asked.call])
 
+    @staticmethod
+    def wanted(asked: api.CallArrived) -> tuple[str, str, int, str]:
+        return asked.gateway or asked.customer, asked.bearer_type, asked.destination, asked.number
+
+    def unserved(self, call: Call, come_back: int = 0) -> None:
+        if call.seen is not None:
+            self.sight.unserved(self.loop.now, self.wanted(call.asked), call.seen, come_back)
+
     def offer(self, call: Call) -> None:
         """The first question, also when a lost try is made again: may the call be set up at all?"""
         own = self.numbers.get(self.own_number)
@@ -577,6 +599,7 @@
     def block(self, call: Call) -> None:
         """Gives a call up. A try that may have run must not be called blocked (rule 2)."""
         del self.calls[call.asked.call]
+        self.unserved(call)
         if self.repeatable(call):
             self.refuse(call.asked, self.come_back)
         else:
@@ -670,6 +693,7 @@
     def __init__(self, seed: int, settings: api.Settings) -> None:
         self._loop = Loop(seed, settings)
         self._home = Home(self._loop)
+        self.sight = self._home.sight  # for what stands before the module and must tell tries apart too
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         loop = self._loop
--- a/peattrestle/interface.py
+++ b/peattrestle/interface.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from peattrestle.storms.sight import Seen
+
 Settings = Mapping[str, Any]
 Load = Mapping[str, float]
 
@@ -31,7 +33,11 @@
 
 @dataclass(slots=True, frozen=True)
 class CallArrived:
-    """A call for the exchange `destination`; `via` is advice, or in transit the number it comes from."""
+    """A call for the exchange `destination`; `via` is advice, or in transit the number it comes from.
+
+    `gateway`: whose caller asks, '' where it is not known. `seen`: whether it is a further try, where the
+    caller of the module has asked that already; else the module finds out.
+    """
 
     call: int
     bearer_type: str
@@ -44,6 +50,8 @@
     cut_before: bool = False
     repeat: bool = False
     customer: str = ""
+    gateway: str = ""
+    seen: Seen | None = None
 
 
 @dataclass(slots=True, frozen=True)
