Door, notices, gate and watch: storms seen, damped and signalled at the agent

Need: callers turned away came back in step, gateways sent what nobody could serve, and nothing told a storm from load. Change: storms/ watches retries, returns and reconnections, holds gateways to weighted shares, tells them a rate with a lifetime (ptl/rat) and paces restarts (ptl/wai, ptl/mwd); come-back times in slots once a caller can no longer stand in time. Stand-in gateways follow, several to an exchange; troubles reconnect and flood.

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -8,6 +8,7 @@
 
 import re
 from collections.abc import Callable
+from dataclasses import replace
 
 from peattrestle import interface as api
 from peattrestle.agent import listing, mapping
@@ -15,6 +16,7 @@
 from peattrestle.agent.calls import OPEN, OVER, STANDS, Call, Counts, RouteTry
 from peattrestle.agent.guard import Guard
 from peattrestle.agent.link import Link, Release
+from peattrestle.agent.storms import Storms
 from peattrestle.control import Controller
 from peattrestle.h248 import package
 from peattrestle.h248.package import BadValue, Outcome, SetUpAsked
@@ -46,6 +48,7 @@
         self.store = store or listing.Store()
         rules, limits = settings.rules, settings.limits
         self.controller = controller or Controller(seed or settings.seed, mapping.module_settings(settings))
+        self.sight = self.controller.sight
         self.guard = guard or Guard(
             rules.drain_grace, rules.release_time, rules.fall_time, rules.fall_multiple, rules.cold_time
         )
@@ -67,6 +70,7 @@
         self.counts = Counts()
         self.connections = 0
         self.tracing = settings.log_level == "debug"
+        self.storms = Storms(kernel, limits, log, self.counts.add, self.askers.known.values)
         self.open_for_calls = Event(kernel)
         self.address = ""
         self.listener: Listener | None = None
@@ -93,7 +97,10 @@
         self.open_for_calls.set()
         self.log("info", "ready", address=self.address, exchanges=len(self.links))
         self.kernel.spawn(self.sweep(), "sweep")
+        self.kernel.spawn(self.storms.run(), "storms")
         while True:
+            while (wait := self.storms.accept_after()) > 0:
+                yield from self.kernel.sleep(wait)
             stream = yield from listener.accept()
             if self.connections >= self.settings.limits.connections:
                 self.counts.add("connections_shed")
@@ -218,7 +225,8 @@
         call = Call(self._next_call, asker, number, asked, now, now + asked.patience)
         if not transit:
             wanted = (asker.name, asked.bearer_type, asked.destination, asked.number)
-            call.seen = self.controller.sight.asked(now, wanted, asked.repeat, asked.cut_before)
+            call.seen = self.sight.asked(now, wanted, asked.repeat, asked.cut_before)
+            self.storms.watch.call(now, call.seen)
         self.calls[call.id] = asker.calls[asked.termination] = call
         self.guard.arrived(call.id, call.abandon_at)
         call.overdue = self.kernel.at(
@@ -226,23 +234,25 @@
         )
         call.pending = self.kernel.at(now + self.settings.limits.pending_after, lambda: self.still_at(call))
         via = asked.origin if transit else asked.via
-        self.post(
-            api.CallArrived(
-                call.id,
-                asked.bearer_type,
-                call.abandon_at,
-                asked.destination,
-                asked.number,
-                asked.width,
-                via,
-                transit,
-                asked.cut_before,
-                asked.repeat,
-                asked.customer,
-                "" if transit else asker.name,
-                call.seen,
-            )
+        arrived = api.CallArrived(
+            call.id,
+            asked.bearer_type,
+            call.abandon_at,
+            asked.destination,
+            asked.number,
+            asked.width,
+            via,
+            transit,
+            asked.cut_before,
+            asked.repeat,
+            asked.customer,
+            "" if transit else asker.name,
+            seen=call.seen,
         )
+        if not transit and not self.storms.lets(asker.name, self.controller.worth(arrived, call.seen)):
+            call.held = True
+            arrived = replace(arrived, held=True)
+        self.post(arrived)
 
     def still_at(self, call: Call) -> None:
         """H.248's word for a slow request, said once; the final answer is still to come."""
@@ -475,6 +485,10 @@
             if self.tracing:
                 self.log("debug", "final answer", call=call.id, reference=call.asked.reference, answer=kind)
             self.counts.add(("transit_" if call.asker is self.own else "") + kind)
+            if call.asker is not self.own and kind == "stood":
+                self.storms.door.stood(self.kernel.now())
+            elif call.asker is not self.own and not call.held:
+                self.storms.door.refused(self.kernel.now())
             call.asker.reply(
                 call.transaction, package.outcome_text(call.transaction, call.asked.termination, outcome)
             )
@@ -667,6 +681,7 @@
             if asker.stream is not None:
                 asker.stream.close()  # a gateway that comes again has given its old connection up
             asker.session, asker.stream = session, stream
+            self.storms.connected(asker, len(self.askers.known))
             return asker.transactions
 
         session = Session(self.mid, Transactions(), stream.write, limits.message, bind)
@@ -695,6 +710,7 @@
             if asker is not None and asker.stream is stream:
                 asker.session = asker.stream = None
                 asker.gone_at = self.kernel.now()
+                self.storms.gone(asker)
                 for call in [one for one in asker.calls.values() if one.state == OPEN]:
                     self.counts.add("left")
                     self.caller_left(call)
@@ -745,6 +761,14 @@
                 ),
             )
             return
+        wait = self.storms.restart_after(asker) if change.method in ("Restart", "Disconnected") else 0
+        if wait:
+            later = f'Error={package.REFUSED}{{"restart later"}},Services{{ptl/wai={wait}}}'
+            asker.reply(
+                number,
+                package.command_reply(number, "-", "ServiceChange", command.termination, inside=later),
+            )
+            return
         if change.method == "Restart":
             for call in list(asker.calls.values()):  # it has forgotten them
                 self.counts.add("orphans_released")
@@ -758,7 +782,8 @@
                 "-",
                 "ServiceChange",
                 command.termination,
-                inside=f"Services{{Profile={package.PROFILE},ptc/run={self.run_name}}}",
+                inside=f"Services{{Profile={package.PROFILE},ptc/run={self.run_name},"
+                f"ptl/mwd={self.storms.waiting_delay(len(self.askers.known))}}}",
             ),
         )
 
--- a/peattrestle/agent/calls.py
+++ b/peattrestle/agent/calls.py
@@ -49,6 +49,7 @@
     overdue: Timer | None = None
     pending: Timer | None = None
     cause: str = ""  # of the last route try that did not stand
+    held: bool = False  # at the door, to its gateway's share
     seen: Seen | None = None  # first or further try; None in transit
 
 
--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -28,7 +28,7 @@
 from math import inf
 
 from peattrestle import interface as api
-from peattrestle.storms.sight import Seen, Sight
+from peattrestle.storms.sight import Key, Seen, Sight
 
 SECOND = 1_000_000_000
 
@@ -350,7 +350,7 @@
         if self.window < 1 and self.loop.now > self.cut_at:
             self.window = min(1.0, self.window + self.REOPEN * (self.loop.now - self.cut_at) / SECOND)
             self.cut_at = self.loop.now
-        worth = self.home.worth(call)
+        worth = self.home.worth(call.asked, call.seen)
         over = self.out + 1 - self.window * worth
         return over > 0 and self.loop.chance() < over
 
@@ -378,6 +378,8 @@
     """The own exchange's side: calls, routes, the design's records; the one place that sends and answers."""
 
     STRAIN_MOST = 0.25  # from this share of late answers on, no call overflows and the own window shrinks
+    RETURNS = 0.2  # late callers come back at this share of the calls that stand
+    JITTER = 0.4   # of a third of the GoS target: what was turned away together comes back apart
     GAP_FIRST, GAP_MOST = SECOND, 8 * SECOND  # a line comes free within about a holding time
 
     def __init__(self, loop: Loop) -> None:
@@ -400,7 +402,7 @@
         self.target = min((int(get(f"gos_target:{one}", SECOND)) for one in types), default=SECOND)
         self.revenue = {one: float(get(f"revenue:{one}", 1.0)) for one in types}
         self.mean_revenue = sum(self.revenue.values()) / max(1, len(types)) or 1.0
-        self.come_back = self.target // 3  # within the GoS target a caller may yet stand in time
+        self.slot_at = 0  # the last slot given to a caller who comes back late
         self.late = min(self.target // 2, get("repeat_gap", 0) or self.target)  # a repeat sets up nothing
         self.holding = max((int(get(f"holding:{one}", SECOND)) for one in types), default=SECOND)
         self.delays = DelayHistogram()
@@ -427,7 +429,7 @@
             case api.CallerLeft():
                 gone = self.calls.pop(note.call, None)
                 if gone is not None:
-                    self.unserved(gone)
+                    self.unserved(gone.asked, gone.seen)
                 if gone is not None and gone.out is not None:
                     self.unanswered(gone.out, self.loop.now - gone.sent_at)
 
@@ -461,9 +463,9 @@
         elif token.isdigit() and (call := self.calls.get(int(token))) is not None and call.out is None:
             self.offer(call)
 
-    def worth(self, call: Call) -> float:
+    def worth(self, asked: api.CallArrived, seen: Seen | None) -> float:
         """Of the mean revenue. Guards first calls against further tries that can no longer stand in time."""
-        name, first_at = call.asked.bearer_type, call.seen.first_at if call.seen else -1
+        name, first_at = asked.bearer_type, seen.first_at if seen is not None else -1
         late = 0 <= first_at < self.loop.now - self.target
         share: float = self.loop.settings.get(f"late_revenue:{name}", 1.0) if late else 1.0
         return share * self.revenue.get(name, 1.0) / self.mean_revenue
@@ -495,28 +497,24 @@
     def arrive(self, asked: api.CallArrived) -> None:
         destination = self.numbers.get(asked.destination)
         until, _ = self.gaps.get(asked.number, (0, 0))
-        if destination is None or asked.destination == self.own_number:
-            # Nowhere to go, or nothing to route: a set-up to itself is a fault.
-            self.refuse(asked, self.come_back)
+        seen = None if asked.transit else asked.seen or self.sight.asked(
+            self.loop.now, self.wanted(asked), asked.repeat, asked.cut_before)
+        if destination is None or asked.destination == self.own_number or asked.held:
+            # Nowhere to go, or nothing to route: a set-up to itself is a fault. Or over its gateway's share.
+            self.refuse(asked, seen)
         elif self.loop.now < until and not asked.transit:
-            self.refuse(asked, until - self.loop.now)
+            self.refuse(asked, seen, until - self.loop.now)
         else:
             if asked.transit and (origin := self.numbers.get(asked.via)) is not None:
                 # That exchange has no room to the destination, or it would not have sent the call this way.
                 self.record(asked.destination, origin).pause(self.loop.now)
-            seen = None if asked.transit else asked.seen or self.sight.asked(
-                self.loop.now, self.wanted(asked), asked.repeat, asked.cut_before)
             self.calls[asked.call] = Call(asked, self.loop.now, destination, seen)
             self.offer(self.calls[asked.call])
 
     @staticmethod
-    def wanted(asked: api.CallArrived) -> tuple[str, str, int, str]:
+    def wanted(asked: api.CallArrived) -> Key:
         return asked.gateway or asked.customer, asked.bearer_type, asked.destination, asked.number
 
-    def unserved(self, call: Call, come_back: int = 0) -> None:
-        if call.seen is not None:
-            self.sight.unserved(self.loop.now, self.wanted(call.asked), call.seen, come_back)
-
     def offer(self, call: Call) -> None:
         """The first question, also when a lost try is made again: may the call be set up at all?"""
         own = self.numbers.get(self.own_number)
@@ -599,16 +597,42 @@
     def block(self, call: Call) -> None:
         """Gives a call up. A try that may have run must not be called blocked (rule 2)."""
         del self.calls[call.asked.call]
-        self.unserved(call)
         if self.repeatable(call):
-            self.refuse(call.asked, self.come_back)
+            self.refuse(call.asked, call.seen)
         else:
+            self.unserved(call.asked, call.seen)
             self.loop.actions.append(api.Abort(call.asked.call))
 
-    def refuse(self, asked: api.CallArrived, come_back: int) -> None:
+    def refuse(self, asked: api.CallArrived, seen: Seen | None, wait: int = 0) -> None:
         get = self.loop.settings.get
         most = get("come_back_limit", 0) if get("come_back", False) and not asked.transit else 0
-        self.loop.actions.append(api.Block(asked.call, min(come_back, most)))
+        come_back = min(most, wait or self.come_back(asked, seen, most))
+        self.unserved(asked, seen, come_back)
+        self.loop.actions.append(api.Block(asked.call, come_back))
+
+    def come_back(self, asked: api.CallArrived, seen: Seen | None, most: int) -> int:
+        """Soon while the caller may yet stand in time; then in a slot of its own, so that they come evenly.
+
+        The slots are a share of the calls that stand lately; when they are full up to `most`, any time
+        up to there. A caller is told no time after which it would have given up.
+        """
+        now, chance = self.loop.now, self.loop.chance()
+        wait = int(self.target * (1 + (chance - 0.5) * self.JITTER) / 3)
+        first_at = seen.first_at if seen is not None and seen.first_at >= 0 else now
+        if now + wait < first_at + self.target:
+            return wait
+        lasting = self.loop.settings.get(f"abandon_time:{asked.bearer_type}", 0)
+        most = max(wait, min(most, first_at + lasting - self.target - now))
+        each = int(1.5 * HALVE_EVERY / max(1.0, self.RETURNS * sum(self.delays.bins)))
+        slot = max(self.slot_at, now + wait)
+        if slot + each > now + most:
+            return wait + int(chance * (most - wait))
+        self.slot_at = slot + each
+        return slot + int(chance * each) - now
+
+    def unserved(self, asked: api.CallArrived, seen: Seen | None, come_back: int = 0) -> None:
+        if seen is not None:
+            self.sight.unserved(self.loop.now, self.wanted(asked), seen, come_back)
 
     def repeatable(self, call: Call) -> bool:
         """Rule 2: nothing of it may have run, or running twice does no harm."""
@@ -693,7 +717,7 @@
     def __init__(self, seed: int, settings: api.Settings) -> None:
         self._loop = Loop(seed, settings)
         self._home = Home(self._loop)
-        self.sight = self._home.sight  # for what stands before the module and must tell tries apart too
+        self.sight, self.worth = self._home.sight, self._home.worth  # for what stands before the module
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         loop = self._loop
--- a/peattrestle/h248/package.py
+++ b/peattrestle/h248/package.py
@@ -2,7 +2,8 @@
 
 `ptc` (call): the parameters of a set-up in LocalControl, its outcome in Statistics, the event `ptc/cut`.
 `ptg` (trunk groups): event `ptg/fre`, statistics of the group towards the answering exchange.
-`ptp` (processor): load report in Statistics. The table is in docs/protocol.md. Durations are nanoseconds.
+`ptp` (processor): load report in Statistics. `ptl` (load limits): the rate a gateway
+may offer, for a time, and when it may restart. The table is in docs/protocol.md. Durations are nanoseconds.
 """
 
 from __future__ import annotations
@@ -260,6 +261,36 @@
     return observed is not None and any(one.name.endswith("ptc/cut") for one in observed.items or ())
 
 
+@dataclass(slots=True, frozen=True)
+class RateNotice:
+    """What a gateway may offer: `rate` calls a second for `lifetime` nanoseconds; a lifetime of 0 lifts it.
+    Of two notices the one with the higher `number` holds."""
+
+    rate: float
+    lifetime: int
+    number: int
+
+
+def rate_event(notice: RateNotice) -> str:
+    return f"ptl/rat{{cps={notice.rate:.3f},val={notice.lifetime},seq={notice.number}}}"
+
+
+def read_rate(command: Command) -> RateNotice | None:
+    """The notice in a Notify; None where there is none. Raises BadValue."""
+    observed = command.find("ObservedEvents")
+    for item in observed.items or () if observed is not None else ():
+        if item.name.endswith("ptl/rat"):
+            values = {one.name: one.value or "" for one in item.items or ()}
+            if re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,9})?", values.get("cps", "")) is None:
+                raise BadValue("ptl/rat cps must be calls a second, as 12.5")
+            return RateNotice(
+                float(values["cps"]),
+                _whole("ptl/rat val", values.get("val"), 0, MOST_DURATION),
+                _whole("ptl/rat seq", values.get("seq"), 0, 1 << 62),
+            )
+    return None
+
+
 def service_change_text(number: int, method: str, reason: str, parameters: str = "") -> str:
     """`method`: Restart, Graceful, Forced, Disconnected or Handoff, as published."""
     more = f",{parameters}" if parameters else ""
--- a/peattrestle/interface.py
+++ b/peattrestle/interface.py
@@ -36,7 +36,8 @@
     """A call for the exchange `destination`; `via` is advice, or in transit the number it comes from.
 
     `gateway`: whose caller asks, '' where it is not known. `seen`: whether it is a further try, where the
-    caller of the module has asked that already; else the module finds out.
+    caller of the module has asked that already; else the module finds out. `held`: over its gateway's share,
+    so that it is only to be told when to come back.
     """
 
     call: int
@@ -51,6 +52,7 @@
     repeat: bool = False
     customer: str = ""
     gateway: str = ""
+    held: bool = False
     seen: Seen | None = None
 
 
--- a/peattrestle/rehearsal/nights.py
+++ b/peattrestle/rehearsal/nights.py
@@ -17,6 +17,7 @@
 # What `figure` means differs by kind; drawn from here where 0 to 0.5 would be mild or senseless.
 FIGURES = {
     "slow": (1.5, 4.0),
+    "flood": (2.0, 8.0),
     "surge": (1.2, 2.0),
     "late_replies": (0.05, 0.6),
     "circuits_lost": (0.3, 0.7),
--- a/peattrestle/rehearsal/play.py
+++ b/peattrestle/rehearsal/play.py
@@ -104,7 +104,7 @@
         for number in range(script.fleet.exchanges):
             self.hosts.start(number)
         for number in range(script.fleet.exchanges):
-            world.add_gateway(number, self.hosts.address(number))
+            world.add_gateways(number, self.hosts.address(number))
         until = kernel.now() + 60 * SECOND
         while not all(gateway.ready for gateway in world.gateways):
             yield from kernel.sleep(20 * MS)
@@ -120,7 +120,7 @@
         world.set_rates()
         self.troubles.schedule(script.trouble, started)
         arrivals = [
-            kernel.spawn(gateway.arrivals(), f"arrivals {gateway.number}") for gateway in world.gateways
+            kernel.spawn(gateway.arrivals(), f"arrivals {gateway.label}") for gateway in world.gateways
         ]
         while kernel.now() < started + script.length:
             yield from kernel.sleep(20 * MS if script.calls else 100 * MS)
@@ -222,9 +222,14 @@
     def equal_counts(self) -> Check:
         """Callers' own counts against their agent's, for each agent that was never killed."""
         compared, different = 0, []
+        own: dict[int, dict[str, int]] = {}
         for gateway in self.world.gateways:
-            counts = self.agents.get(gateway.number)
-            if counts is None or gateway.number in self.hosts.killed or gateway.counts.get("dropped", 0):
+            sums = own.setdefault(gateway.number, {})
+            for name, value in gateway.counts.items():
+                sums[name] = sums.get(name, 0) + value
+        for number, sums in own.items():
+            counts = self.agents.get(number)
+            if counts is None or number in self.hosts.killed or sums.get("dropped", 0):
                 continue
             compared += 1
             for ours, theirs in (
@@ -234,11 +239,9 @@
                 ("failed", "failed"),
                 ("left", "left"),
             ):
-                if gateway.counts.get(ours, 0) != counts.get(theirs, 0):
-                    different.append(
-                        f"a{gateway.number} {ours} {gateway.counts.get(ours, 0)} / {counts.get(theirs, 0)}"
-                    )
-        text = f"{compared} of {len(self.world.gateways)} agents compared"
+                if sums.get(ours, 0) != counts.get(theirs, 0):
+                    different.append(f"a{number} {ours} {sums.get(ours, 0)} / {counts.get(theirs, 0)}")
+        text = f"{compared} of {len(own)} agents compared"
         return Check(
             "counts equal",
             text + (": " + ", ".join(different[:5]) if different else ""),
--- a/peattrestle/rehearsal/script.py
+++ b/peattrestle/rehearsal/script.py
@@ -33,6 +33,8 @@
     "list_gone",
     "garbage",
     "repeats",
+    "reconnect",
+    "flood",
 )
 
 
@@ -42,6 +44,7 @@
     regions: tuple[str, ...] = schema.texts(
         ("north", "south"), (), "regions that the exchanges are dealt to in turn"
     )
+    gateways: int = schema.whole(1, 1, 1000, "gateways of callers at each exchange, which share its calls")
     calls_a_second: float = schema.number(
         10.0, 0.01, 1000, "calls a second that start at each exchange, at plan"
     )
@@ -78,6 +81,10 @@
     redial_most: int = schema.duration("1200ms", "0ms", "10min", "longest such wait")
     honours: float = schema.number(0.7, 0, 1, "share of refusals whose come-back time is kept to")
     marks: bool = schema.flag(True, "further tries are marked")
+    follows: bool = schema.flag(True, "gateways keep to notices of the rate they may offer")
+    avalanche: bool = schema.flag(True, "gateways spread their restarts over the delay told them")
+    restart_least: int = schema.duration("50ms", "0ms", "10min", "shortest wait of a gateway cut off")
+    restart_most: int = schema.duration("250ms", "0ms", "10min", "longest such wait, beside the spreading")
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/peattrestle/rehearsal/trouble.py
+++ b/peattrestle/rehearsal/trouble.py
@@ -240,9 +240,32 @@
 
         return undo
 
+    def do_reconnect(self, one: Trouble) -> None:
+        """All gateways of the exchanges concerned lose their connections in the same moment."""
+        numbers = set(one.who or range(self.world.script.fleet.exchanges))
+        for gateway in self.world.gateways:
+            if gateway.number in numbers:
+                gateway.reset()
+
+    def do_flood(self, one: Trouble) -> Callable[[], None]:
+        """The last gateway of each exchange concerned offers `figure` times its part and heeds no advice."""
+        numbers = set(self.who(one))
+        last = {gateway.number: gateway for gateway in self.world.gateways}
+        floods = [gateway for number, gateway in last.items() if number in numbers]
+        for gateway in floods:
+            gateway.flood, gateway.multiple = True, max(1.0, one.figure)
+        self.world.set_rates()
+
+        def undo() -> None:
+            for gateway in floods:
+                gateway.flood, gateway.multiple = False, 1.0
+            self.world.set_rates()
+
+        return undo
+
     def do_gateway_reset(self, one: Trouble) -> None:
         for number in self.who(one):
-            self.world.gateways[number].reset()
+            next(one for one in self.world.gateways if one.number == number).reset()
 
     # Sockets.
 
--- a/peattrestle/rehearsal/world.py
+++ b/peattrestle/rehearsal/world.py
@@ -75,6 +75,10 @@
             script.callers.redial_most,
             script.callers.honours,
             script.callers.marks,
+            follows=script.callers.follows,
+            avalanche=script.callers.avalanche,
+            restart_least=script.callers.restart_least,
+            restart_most=script.callers.restart_most,
         )
         self.gateways: list[Gateway] = []
         self.habits = habits
@@ -138,11 +142,12 @@
             bearer=bearers,
         )
 
-    def add_gateway(self, number: int, address: str) -> Gateway:
-        traffic = Traffic(self.script.fleet.calls_a_second, self.weights[number], self.bearers, self.habits)
-        gateway = Gateway(self.kernel, self.record, number, f"a{number}", lambda: address, traffic)
-        self.gateways.append(gateway)
-        return gateway
+    def add_gateways(self, number: int, address: str) -> None:
+        for place in range(self.script.fleet.gateways):
+            traffic = Traffic(0.0, self.weights[number], self.bearers, self.habits)
+            self.gateways.append(
+                Gateway(self.kernel, self.record, number, f"a{number}", lambda: address, traffic, place)
+            )
 
     def set_rates(self) -> None:
         """Each gateway's rate by the load curve and the surges that are on."""
@@ -151,7 +156,8 @@
             for who, multiple in self.surges.values():
                 if gateway.number in who:
                     level *= multiple
-            gateway.traffic.rate = self.script.fleet.calls_a_second * level
+            fleet = self.script.fleet
+            gateway.traffic.rate = fleet.calls_a_second * level * gateway.multiple / fleet.gateways
 
     def note_pressure(self) -> None:
         """The processors' own books on rule 4, for the judge: at the end, before restarts too."""
--- a/peattrestle/settings/agent.py
+++ b/peattrestle/settings/agent.py
@@ -55,6 +55,10 @@
     open_requests: int = schema.whole(20_000, 1, 1_000_000, "requests open to one peer")
     kept_replies: int = schema.whole(50_000, 100, 10_000_000, "replies kept for one peer's repeated requests")
     gateways: int = schema.whole(1_000, 1, 100_000, "gateways whose kept replies are remembered")
+    restarts: int = schema.whole(
+        50, 1, 100_000, "gateways that may restart in a second; others are told when to come"
+    )
+    accepts: int = schema.whole(500, 1, 100_000, "connections taken in a second; others wait")
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/peattrestle/standin/callers.py
+++ b/peattrestle/standin/callers.py
@@ -9,7 +9,7 @@
 from peattrestle.h248.package import SetUpAsked
 from peattrestle.h248.session import BadPeer, Session
 from peattrestle.h248.transactions import Answered, New, Stray, Transactions
-from peattrestle.runtime import Coroutine, Kernel, Lost, Refused, Stream, Timer
+from peattrestle.runtime import Coroutine, Event, Kernel, Lost, Refused, Stream, TimedOut, Timer
 from peattrestle.standin.record import Record
 
 MS = 1_000_000
@@ -54,10 +54,14 @@
     redial_most: int = 1200 * MS
     honours: float = 0.7  # share that honours the come-back time
     marks: bool = True  # further tries carry ptc/rpt
-    repeats: float = 0.0           # share of requests that the gateway sends twice
+    repeats: float = 0.0  # share of requests that the gateway sends twice
     leaves_early: float = 0.0  # share that leaves long before its abandon time
     return_least: int = 440 * MS  # a cut call comes again after this
     return_most: int = 2600 * MS
+    restart_least: int = 50 * MS  # a gateway that lost its connection waits so long before the next attempt
+    restart_most: int = 250 * MS
+    avalanche: bool = True  # and keeps to the delay that its agent told, drawn, but for a caller who dials
+    follows: bool = True  # gateways keep to notices of the rate they may offer
 
 
 @dataclass(slots=True)
@@ -86,6 +90,31 @@
     hot: tuple[str, int, float] | None = None
 
 
+class Bucket:
+    """A leaky bucket for the rate a notice allows; the stand-in's own, to show what the agent says."""
+
+    def __init__(self) -> None:
+        self.rate, self.until, self.number = 0.0, 0, -1
+        self.full, self.at = 0.0, 0
+
+    def told(self, now: int, notice: package.RateNotice) -> None:
+        if notice.number > self.number:
+            if now >= self.until:
+                self.full, self.at = 0.0, now
+            self.number, self.rate, self.until = notice.number, notice.rate, now + notice.lifetime
+
+    def passes(self, now: int, room: float) -> bool:
+        """`room`: how full it may be before this call."""
+        if now >= self.until:
+            return True
+        self.full = max(0.0, self.full - self.rate * (now - self.at) / SECOND)
+        self.at = now
+        if self.full > room:
+            return False
+        self.full += 1
+        return True
+
+
 class Gateway:
     def __init__(
         self,
@@ -95,11 +124,13 @@
         agent: str,
         address: Callable[[], str],
         traffic: Traffic,
+        place: int = 0,
     ) -> None:
         self.kernel, self.record, self.number, self.agent = kernel, record, number, agent
         self.address, self.traffic = address, traffic
-        self.name = f"gateway {number}"
-        self.mid = f"<g{number}>"
+        self.label = f"{number}" + (f".{place}" if place else "")
+        self.name = f"gateway {self.label}"
+        self.mid = f"<g{self.label}>"
         self.draw = kernel.chance(self.name)
         self.transactions = Transactions(1, 100_000, 10_000)
         self.session: Session | None = None
@@ -115,6 +146,11 @@
         self.reply_after_leaving = 0
         self.closing = False
         self.refused_connections = 0
+        self.bucket = Bucket()
+        self.waiting_delay = 0  # as the agent told it
+        self.wanted = Event(kernel)  # a caller dials while there is no connection
+        self.multiple = 1.0  # of its part of the exchange's calls
+        self.flood = False  # offers what it likes and heeds nothing
         kernel.spawn(self.connect(), self.name)
 
     def count(self, name: str) -> None:
@@ -130,15 +166,21 @@
             except (Refused, Lost, BadPeer):
                 self.refused_connections += 1
             self.lost()
-            yield from self.kernel.sleep(self.draw.randint(50 * MS, 250 * MS))
+            habits = self.traffic.habits
+            yield from self.kernel.sleep(self.draw.randint(habits.restart_least, habits.restart_most))
+            if habits.avalanche and not self.flood and self.waiting_delay:
+                # H.248.1's procedure: a drawn wait, that a caller's wish ends.
+                self.wanted = Event(self.kernel)
+                try:
+                    delay = self.draw.randint(0, self.waiting_delay)
+                    yield from self.kernel.within(delay, self.wanted.wait())
+                except TimedOut:
+                    pass
 
     def converse(self, stream: Stream) -> Coroutine[None]:
         self.stream = stream
         self.session = session = Session(self.mid, self.transactions, stream.write)
-        method = "Disconnected" if self.run else "Restart"
-        session.request(
-            "hello", lambda number: package.service_change_text(number, method, "900 Service Restored")
-        )
+        self.hello(session)
         try:
             while data := (yield from stream.read()):
                 for heard in session.feed(self.kernel.now(), data):
@@ -158,6 +200,18 @@
         finally:
             stream.close()
 
+    def hello(self, session: Session) -> None:
+        method = "Disconnected" if self.run else "Restart"
+        session.request(
+            "hello", lambda number: package.service_change_text(number, method, "900 Service Restored")
+        )
+
+    def hello_later(self, session: Session, wait: int) -> None:
+        self.count("restarts_held_back")
+        self.kernel.at(
+            self.kernel.now() + wait, lambda: self.hello(session) if self.session is session else None
+        )
+
     def lost(self) -> None:
         """Calls that were not answered are lost with the connection; their callers dial again."""
         self.session = self.stream = None
@@ -220,6 +274,12 @@
         now, bearer, habits = self.kernel.now(), self.bearer(sale), self.traffic.habits
         if self.session is None or not self.ready:
             self.count("no_connection")
+            self.wanted.set()
+            self.redial(sale, 0)
+            return
+        if habits.follows and not self.flood and not self.bucket.passes(now, self.room(sale)):
+            self.count("held_by_notice")
+            sale.tries += 1
             self.redial(sale, 0)
             return
         patience = round(bearer.abandon_time * self.draw.uniform(habits.patience_least, habits.patience_most))
@@ -238,7 +298,7 @@
             bearer.width,
             repeat=habits.marks and sale.tries > 1,
             cut_before=again_after_cut,
-            reference=f"g{self.number}/{self.dialled}",
+            reference=f"g{self.label}/{self.dialled}",
         )
         dial = Dial(sale, termination, 0, now, now + patience)
         dial.transaction = self.session.request(dial, lambda number: package.add_text(number, asked))
@@ -254,6 +314,11 @@
         )
         dial.timer = self.kernel.at(now + leaves, lambda: self.leave(dial))
 
+    def room(self, sale: Sale) -> float:
+        """A first call may use the bucket's burst; one that can no longer stand in time may not."""
+        late = self.kernel.now() - sale.first_at > self.bearer(sale).gos_target
+        return 0.0 if late else 2.0
+
     def repeat(self, dial: Dial, asked: SetUpAsked) -> None:
         """The same request once more, as over a lossy way: it may be answered again, and alike."""
         if self.session is not None and dial.state in ("asked", "stands"):
@@ -265,6 +330,12 @@
         if kept == "hello":
             found = package.first_command(heard.reply.actions)
             services = found[1].find("Services") if found else None
+            wait = services.find("ptl/wai") if services else None
+            if wait is not None and self.session is not None:
+                self.hello_later(self.session, int(wait.value or 0))
+                return
+            delay = services.find("ptl/mwd") if services else None
+            self.waiting_delay = int(delay.value or 0) if delay else 0
             run = services.find("ptc/run") if services else None
             self.greeted(run.value or "" if run else "")
         elif isinstance(kept, Dial):
@@ -331,6 +402,10 @@
         found = package.first_command(heard.request.actions)
         assert found is not None and self.session is not None
         action, command = found
+        notice = package.read_rate(command) if command.name == "Notify" else None
+        if notice is not None:
+            self.count("notices" if notice.lifetime else "notices_lifted")
+            self.bucket.told(self.kernel.now(), notice)
         if command.name == "Notify" and package.is_cut(command):
             dial = self.dials.get(command.termination)
             if dial is not None and dial.state == "stands":
@@ -353,7 +428,7 @@
         if sale.tries > habits.redials or self.closing:
             return
         wait = self.draw.randint(habits.redial_least, habits.redial_most)
-        if come_back and self.draw.random() < habits.honours:
+        if come_back and not self.flood and self.draw.random() < habits.honours:
             wait = come_back
         if self.kernel.now() + wait < sale.first_at + self.bearer(sale).abandon_time:
             if not self.ready:
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -85,7 +85,7 @@
 
     def __init__(self, agent: CallAgent) -> None:
         self.agent = agent
-        self.sight = agent.controller.sight
+        self.sight, self.worth = agent.controller.sight, agent.controller.worth
         self.asked: dict[int, api.CallArrived] = {}
 
     def handle(self, now: int, events: Any) -> list[api.Action]:
