--- /dev/null
+++ b/examples/storms/second-cut.hcl
@@ -0,0 +1,49 @@
+# A second cut while the first wave is still coming back.
+title  = "storm inside a storm"
+length = "70s"
+seed   = 1
+
+fleet {
+  exchanges      = 8
+  regions        = ["north", "south"]
+  calls_a_second = 6
+  busy           = 0.72
+  no_group       = 0.15
+  gateways       = 1
+}
+
+bearer "line-render" {
+  share   = 78
+  holding = "4s"
+}
+bearer "reel-render" {
+  share   = 22
+  holding = "5s"
+  revenue = 2
+}
+
+callers {
+  redials = 6
+}
+
+load {
+  level = 1.2
+}
+
+trouble "region cut off" {
+  kind   = "region_cut"
+  at     = "15s"
+  length = "8s"
+  region = "south"
+}
+trouble "cut off again" {
+  kind   = "region_cut"
+  at     = "26s"
+  length = "6s"
+  region = "south"
+}
+must {
+  back_to      = 0.95
+  back_within  = "30s"
+  pressed_most = 2
+}
--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -681,7 +681,6 @@
             if asker.stream is not None:
                 asker.stream.close()  # a gateway that comes again has given its old connection up
             asker.session, asker.stream = session, stream
-            self.storms.connected(asker, len(self.askers.known))
             return asker.transactions
 
         session = Session(self.mid, Transactions(), stream.write, limits.message, bind)
@@ -761,6 +760,8 @@
                 ),
             )
             return
+        if change.method == "Disconnected":
+            self.storms.connected(asker, len(self.askers.known))
         wait = self.storms.restart_after(asker) if change.method in ("Restart", "Disconnected") else 0
         if wait:
             later = f'Error={package.REFUSED}{{"restart later"}},Services{{ptl/wai={wait}}}'
--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -263,9 +263,9 @@
                 self.home.able = max(self.home.able, note.load.get("rate", 0.0))
 
     def told(self, entry: api.Entry) -> None:
+        if self.number < 0 and entry.number == self.home.own_number:
+            self.window = 2 * self.WINDOW_START  # restarted in a storm it must not be the burst
         self.number, self.state = entry.number, entry.state
-        if self.number == self.home.own_number and not self.out:
-            self.window = inf
         cold_until = entry.started_at + self.loop.settings.get("cold_time", 0) if entry.started_at else 0
         if cold_until > self.cold_until:
             self.cold_until = cold_until
--- a/peattrestle/rehearsal/play.py
+++ b/peattrestle/rehearsal/play.py
@@ -14,6 +14,7 @@
 from peattrestle.rehearsal.hosts import Make, ProcessHosts, VirtualHosts
 from peattrestle.rehearsal.judge import Judge, Limits, Verdict
 from peattrestle.rehearsal.script import Script
+from peattrestle.rehearsal.series import Sampler, Series
 from peattrestle.rehearsal.trouble import Troubles
 from peattrestle.rehearsal.world import World
 from peattrestle.runtime import Coroutine
@@ -53,6 +54,7 @@
     troubles: dict[str, int]
     trace: str
     rows: list[Any] = field(default_factory=list)
+    series: Series = field(default_factory=Series)
 
     @property
     def passed(self) -> bool:
@@ -85,6 +87,8 @@
         self.agents: dict[int, dict[str, int]] = {}
         self.leaks = 0
         self.failure = ""
+        self.sampler = Sampler(self.world)
+        self.started = 0
 
     def play(self) -> Result:
         """Raises CouldNotRun."""
@@ -113,7 +117,8 @@
                 kernel.stop()
                 return
         yield from kernel.sleep(500 * MS)  # groups are told once the links are up
-        started = kernel.now()
+        started = self.started = kernel.now()
+        kernel.spawn(self.sampler.run(), "sampler")
         self.say(f"{script.fleet.exchanges} agents up")
         for step in script.load:
             kernel.at(started + step.at, lambda step=step: self.set_level(step.level))  # type: ignore[misc]
@@ -178,6 +183,8 @@
             for name, value in counts.items():
                 agents[name] = agents.get(name, 0) + value
         share = earned.earned / earned.offered if earned.offered else 0.0
+        seconds = self.script.length // SECOND
+        series = self.sampler.series(world.gateways, self.started, seconds)
         digest = hashlib.sha256()
         for row in rows:
             digest.update(repr(row).encode())
@@ -186,7 +193,7 @@
             type(self.kernel).__name__,
             self.script.seed,
             verdicts,
-            self.checks(share, agents),
+            self.checks(share, agents) + self.storm_checks(series, agents),
             share,
             earned.offered,
             callers.get("asked", 0),
@@ -199,6 +206,7 @@
             self.troubles.played,
             digest.hexdigest(),
             rows,
+            series,
         )
 
     def checks(self, share: float, agents: dict[str, int]) -> list[Check]:
@@ -219,6 +227,33 @@
         )
         return checks
 
+    def storm_checks(self, series: Series, agents: dict[str, int]) -> list[Check]:
+        must, checks, troubles = self.script.must, [], self.script.trouble
+        if must.back_to and troubles:
+            first = min(one.at for one in troubles) // SECOND
+            healed = -(-max(one.at + one.length for one in troubles) // SECOND)
+            before = series.over(max(0, first - 10), first)
+            after = series.back_after(before, must.back_to, healed, 5)
+            text = f"{after} s after the last trouble" if after >= 0 else "not at all"
+            checks.append(
+                Check(
+                    f"back to {must.back_to:.0%}",
+                    f"{text}, of {before:.3f} before; at most {must.back_within // SECOND} s",
+                    0 <= after <= must.back_within // SECOND,
+                )
+            )
+        for kind in must.storms:
+            seen = agents.get(f"storms_{kind}", 0)
+            checks.append(Check(f"{kind} storm seen", f"{seen} times, by all agents", seen > 0))
+        for kind in must.no_storms:
+            seen = agents.get(f"storms_{kind}", 0)
+            checks.append(Check(f"no {kind} storm seen", f"{seen} times, by all agents", seen == 0))
+        if must.pressed_most:
+            most = max(series.pressed, default=0.0)
+            text = f"{most:.2f} of what it can set up in a second"
+            checks.append(Check("worst exchange", text, most <= must.pressed_most))
+        return checks
+
     def equal_counts(self) -> Check:
         """Callers' own counts against their agent's, for each agent that was never killed."""
         compared, different = 0, []
--- a/peattrestle/rehearsal/script.py
+++ b/peattrestle/rehearsal/script.py
@@ -112,6 +112,13 @@
     service_least: float = schema.number(0.0, 0, 1, "revenue earned over revenue offered")
     counts_equal: bool = schema.flag(True, "callers' own counts equal those of every agent never killed")
     no_leaks: bool = schema.flag(True, "no circuit is taken that no call accounts for")
+    back_to: float = schema.number(0.0, 0, 1, "share of the service before the first trouble to come back to")
+    back_within: int = schema.duration("30s", "1s", "1h", "and how soon after the last trouble has ended")
+    storms: tuple[str, ...] = schema.texts((), (), "kinds of storm that some agent must have seen")
+    no_storms: tuple[str, ...] = schema.texts((), (), "kinds that no agent may have seen")
+    pressed_most: float = schema.number(
+        0.0, 0, 100, "set-ups in a second to any exchange over what it can do; 0: not judged"
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/peattrestle/standin/callers.py
+++ b/peattrestle/standin/callers.py
@@ -270,6 +270,14 @@
     def bearer(self, sale: Sale) -> BearerFigures:
         return next(one for one in self.traffic.bearers if one.name == sale.bearer_type)
 
+    def worth(self, sale: Sale) -> float:
+        """What it earned: a call that stood within the GoS target of its first try, not cut for good."""
+        bearer = self.bearer(sale)
+        if sale.stood_at < 0 or (sale.cut and not sale.returned):
+            return 0.0
+        in_time = sale.stood_at - sale.first_at <= bearer.gos_target
+        return bearer.revenue * (1.0 if in_time else bearer.late_revenue)
+
     def dial(self, sale: Sale, again_after_cut: bool = False) -> None:
         now, bearer, habits = self.kernel.now(), self.bearer(sale), self.traffic.habits
         if self.session is None or not self.ready:
@@ -466,12 +474,8 @@
         for sale in gateway.sales:
             if not since <= sale.first_at < until:
                 continue
-            bearer = gateway.bearer(sale)
-            out.offered += bearer.revenue
-            if sale.stood_at < 0:
-                continue
-            delay = sale.stood_at - sale.first_at
-            out.delays.append(delay)
-            if not sale.cut or sale.returned:
-                out.earned += bearer.revenue * (1.0 if delay <= bearer.gos_target else bearer.late_revenue)
+            out.offered += gateway.bearer(sale).revenue
+            out.earned += gateway.worth(sale)
+            if sale.stood_at >= 0:
+                out.delays.append(sale.stood_at - sale.first_at)
     return out
--- a/peattrestle/standin/processor.py
+++ b/peattrestle/standin/processor.py
@@ -40,6 +40,7 @@
         self.worst_pressure = 0.0  # nearest approach to the rule's limit, as a share of it
         self.cold_windows = 0
         self.done_work = self.offered_work = 0
+        self.asked = 0  # set-ups sent here so far, those turned away too
         self._setups: deque[tuple[int, Callable[[], None]]] = deque()
         self._urgent: deque[tuple[int, Callable[[], None]]] = deque()
         self._waiting_work = 0
@@ -82,6 +83,7 @@
     def set_up(self, work: int, done: Callable[[], None], sender: str) -> bool:
         """False when it is full; turning one away costs some work too. `sender`: the agent that sent it."""
         self._note_pressure(sender)
+        self.asked += 1
         if self.fallen:
             return True  # takes it and answers none
         self.offered_work += work
--- a/peattrestle/storms/restarts.py
+++ b/peattrestle/storms/restarts.py
@@ -29,7 +29,7 @@
     def __init__(self, rate: float, burst: int, most: int) -> None:
         self.rate, self.burst, self.most = rate, burst, most
         self.each = round(SECOND / rate)
-        self.next_at = 0
+        self.next_at = -(1 << 62)
         self.slots: OrderedDict[str, int] = OrderedDict()
         self.held_back = 0
 
