--- a/examples/storms/reconnect.hcl
+++ b/examples/storms/reconnect.hcl
@@ -34,6 +34,7 @@
 
 trouble "all connections lost" {
   kind   = "reconnect"
+  share  = 1
   at     = "15s"
   length = "1s"
 }
--- a/peattrestle/cli/main.py
+++ b/peattrestle/cli/main.py
@@ -197,6 +197,24 @@
     raise SystemExit(HELD if result.passed else BROKEN)
 
 
+@cli.command()
+@click.argument("reports", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--out", required=True, type=click.Path(dir_okay=False, path_type=Path), help="A picture.")
+def plot(reports: tuple[Path, ...], out: Path) -> None:
+    """Draws load and service over time from REPORTS, folders of `rehearse --report`, beside each other."""
+    from peattrestle.rehearsal import plot as plots
+
+    try:
+        read = [(one.name or str(one), plots.read(one)) for one in reports]
+        plots.draw(read, out)
+    except plots.NotAReport as fault:
+        fail(WRONG, fault)
+    except ImportError:
+        fail(COULD_NOT, "plots need matplotlib: pip install -r requirements-plot.txt")
+    except (OSError, ValueError) as fault:
+        fail(COULD_NOT, f"{out}: {fault}")
+
+
 @cli.command()
 @click.argument("address", metavar="ADDRESS")
 @click.argument("destination", type=click.IntRange(0), metavar="EXCHANGE")
--- a/peattrestle/storms/shares.py
+++ b/peattrestle/storms/shares.py
@@ -125,7 +125,8 @@
         let = self.let.rate(now)
         share = self.away.rate(now) / max(1e-9, let)
         if self.held:
-            crossed, lasting = share < self.END, self.END_AFTER
+            # Where nobody calls, the share stays what it was: then it is the calls that say that it is over.
+            crossed, lasting = share < self.END or let < self.LEAST / 2, self.END_AFTER
         else:
             crossed, lasting = share >= self.START and let >= self.LEAST, self.START_AFTER
         if not crossed:
--- a/tests/storms/test_decisions.py
+++ b/tests/storms/test_decisions.py
@@ -194,6 +194,15 @@
     assert not one.door.held and one.door.notices() == {}
 
 
+def test_the_door_opens_where_nobody_calls_any_more() -> None:
+    one = Played(carries=20)
+    one.run(10, {"a": [(1.0, 60)], "b": [(1.0, 5)]})
+    assert one.door.held
+    for step in range(60):
+        one.door.look(one.now + step * 250 * MS)
+    assert not one.door.held
+
+
 def test_false_evidence_leaves_first_calls_alone() -> None:
     """Nothing stands because the exchanges are away: what used to be offered is still let through."""
     one = Played(carries=30)
