Further route tries are a tenth of first ones; a restarted agent's links come spread

Need: an agent's own further tries multiply load when answers fail, and agents restarted together made all links at once.

--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -74,6 +74,10 @@
     control.Exchange.told = at_once  # type: ignore[method-assign]
 
 
+def without_budget() -> None:
+    control.Home.FURTHER = 1.0
+
+
 PARTS = {
     "fresh first": without_fresh_first,
     "slots": without_slots,
@@ -81,6 +85,7 @@
     "notices": without_notices,
     "gate": without_gate,
     "slow start": without_slow_start,
+    "budget": without_budget,
 }
 
 
--- a/peattrestle/agent/link.py
+++ b/peattrestle/agent/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -10,7 +11,7 @@
 from peattrestle.h248 import package
 from peattrestle.h248.session import BadPeer, Heard, Session
 from peattrestle.h248.transactions import Full, Transactions
-from peattrestle.runtime import Coroutine, Kernel, Lost, Refused, Stream, Timer
+from peattrestle.runtime import Coroutine, Event, Kernel, Lost, Refused, Stream, TimedOut, Timer
 from peattrestle.settings.agent import Agent as Settings
 
 MOST_OWED = 10_000
@@ -66,10 +67,15 @@
         self.audits = 0
         self.owed: deque[Release] = deque()
         self.releases: dict[int, Release] = {}
+        self.wanted = Event(kernel)  # a call asks for it while it waits to be made
         self.task = kernel.spawn(self.run(), f"link {exchange}")
 
     def run(self) -> Coroutine[None]:
         links, wait = self.settings.links, self.settings.links.retry_least
+        if links.restart_wait:
+            # H.248.1's restart avalanche procedure: a drawn wait, ended by a user's wish.
+            with contextlib.suppress(TimedOut):
+                yield from self.kernel.within(self.draw.randint(0, links.restart_wait), self.wanted.wait())
         while not self.closing:
             why = ""
             try:
@@ -169,6 +175,7 @@
     def set_up(self, one: RouteTry, asked: package.SetUpAsked) -> bool:
         """False where the link is down or has no room: nothing was sent."""
         if self.session is None or not self.up:
+            self.wanted.set()
             return False
         try:
             one.transaction = self.session.request(one, lambda number: package.add_text(number, asked))
--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -378,6 +378,7 @@
     """The own exchange's side: calls, routes, the design's records; the one place that sends and answers."""
 
     STRAIN_MOST = 0.25  # from this share of late answers on, no call overflows and the own window shrinks
+    FURTHER, FURTHER_MOST = 0.1, 10.0  # further route tries for each first one, and how many may be saved up
     RETURNS = 0.2  # late callers come back at this share of the calls that stand
     JITTER = 0.4   # of a third of the GoS target: what was turned away together comes back apart
     GAP_FIRST, GAP_MOST = SECOND, 8 * SECOND  # a line comes free within about a holding time
@@ -402,6 +403,7 @@
         self.target = min((int(get(f"gos_target:{one}", SECOND)) for one in types), default=SECOND)
         self.revenue = {one: float(get(f"revenue:{one}", 1.0)) for one in types}
         self.mean_revenue = sum(self.revenue.values()) / max(1, len(types)) or 1.0
+        self.further = self.FURTHER_MOST
         self.slot_at = 0  # the last slot given to a caller who comes back late
         self.late = min(self.target // 2, get("repeat_gap", 0) or self.target)  # a repeat sets up nothing
         self.holding = max((int(get(f"holding:{one}", SECOND)) for one in types), default=SECOND)
@@ -579,9 +581,11 @@
         """The only place that sends: one try out, none in the release time, none to a leaving exchange."""
         now = self.loop.now
         patience = call.asked.abandon_at - now - 2 * self.loop.settings.get("step", 0)
-        if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0:
+        spent = call.tries > 0 and self.further < 1
+        if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0 or spent:
             self.block(call)
             return
+        self.further = min(self.FURTHER_MOST, self.further + (-1 if call.tries else self.FURTHER))
         early = route.patience() if self.losses() >= 2 else 0  # one may be chance
         if early > 0 and now + early + self.loop.settings.get("release_time", 0) < call.asked.abandon_at:
             patience = min(patience, early)
@@ -611,10 +615,10 @@
         self.loop.actions.append(api.Block(asked.call, come_back))
 
     def come_back(self, asked: api.CallArrived, seen: Seen | None, most: int) -> int:
-        """Soon while the caller may yet stand in time; then in a slot of its own, so that they come evenly.
+        """Soon while the caller may yet stand in time; then in a slot, so that late ones come evenly.
 
-        The slots are a share of the calls that stand lately; when they are full up to `most`, any time
-        up to there. A caller is told no time after which it would have given up.
+        The slots are a share of the calls that stand lately; when they are full up to `most`, any time to
+        there. Never a time after which the caller would have given up.
         """
         now, chance = self.loop.now, self.loop.chance()
         wait = int(self.target * (1 + (chance - 0.5) * self.JITTER) / 3)
--- a/peattrestle/settings/agent.py
+++ b/peattrestle/settings/agent.py
@@ -72,6 +72,13 @@
         "1min",
         "first wait before a link is tried again; doubles, and each is drawn from half of it to all of it",
     )
+    restart_wait: int = schema.duration(
+        "200ms",
+        "0ms",
+        "10min",
+        "after a start each link waits a time drawn up to this, unless a call wants it: agents that start "
+        "together are not to restart an exchange's links all at once",
+    )
     retry_most: int = schema.duration("5s", "10ms", "10min", "longest such wait")
     keepalive: int = schema.duration(
         "2s", "50ms", "10min", "an idle link is audited after this; two unanswered audits end it"
--- a/peattrestle/storms/notice.py
+++ b/peattrestle/storms/notice.py
@@ -64,38 +64,3 @@
     def _next(self, rate: float, lifetime: int) -> Notice:
         self.number += 1
         return Notice(rate, lifetime, self.number)
-
-
-class Follower:
-    """The other side: keeps to the notices it is given. For gateways' programs; the stand-ins have their own.
-
-    A leaky bucket of RFC 7415: `burst` calls may come at once, and calls above are not sent. An older notice
-    than the last is passed over; one that has run out holds nobody.
-    """
-
-    def __init__(self, burst: float = 2.0) -> None:
-        self.burst = burst
-        self.rate, self.until, self.number = 0.0, 0, 0
-        self.level, self.at = 0.0, 0
-
-    def told(self, now: int, notice: Notice) -> None:
-        if notice.number <= self.number:
-            return
-        self.number = notice.number
-        if notice.lifetime <= 0:
-            self.until = 0
-            return
-        if now >= self.until:
-            self.level, self.at = 0.0, now
-        self.rate, self.until = notice.rate, now + notice.lifetime
-
-    def sends(self, now: int) -> bool:
-        """Whether a call may be sent now; counts it if so."""
-        if now >= self.until:
-            return True
-        self.level = max(0.0, self.level - self.rate * (now - self.at) / SECOND)
-        self.at = now
-        if self.level + 1 > self.burst:
-            return False
-        self.level += 1
-        return True
