--- /dev/null
+++ b/peattrestle/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Registries of key and value, spoken to by their published protocols. No I/O, no clock."""
