Returns after cuts in the watch; what each storm part guards, in the experiment tool

Need: a cut call's way back was not measured, and parts that earn nothing on the main case must show what they guard. Change: Watch.cut, a script for a mass return, benchmarks/storms.py guards; a stand-in gateway forgets notices with its connection.

--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -27,6 +27,7 @@
 from peattrestle.agent import storms as agent_storms
 from peattrestle.rehearsal import script as scripts
 from peattrestle.rehearsal.play import Player, Result
+from peattrestle.standin.callers import service
 from peattrestle.storms import shares, sight, watch
 
 MS = 1_000_000
@@ -135,8 +136,23 @@
     if variant in VARIANTS:
         VARIANTS[variant]()
     started = time.perf_counter()
-    result = Player(script, "virtual").play()
-    return figures(script, result) | {"took": time.perf_counter() - started}
+    player = Player(script, "virtual")
+    result = player.play()
+    out = figures(script, result) | {"took": time.perf_counter() - started}
+    hellos: dict[int, int] = {}
+    for gateway in player.world.gateways:
+        for at in gateway.greetings:
+            if at > player.started:
+                hellos[at // SECOND] = hellos.get(at // SECOND, 0) + 1
+    out["most hellos/s"] = float(max(hellos.values(), default=0)) / script.fleet.exchanges
+    if any(gateway.flooded for gateway in player.world.gateways):
+        first = player.started + min(one.at for one in script.trouble)
+        until = player.started + max(one.at + one.length for one in script.trouble)
+        hit = {gateway.number for gateway in player.world.gateways if gateway.flooded}
+        beside = [one for one in player.world.gateways if one.number in hit and not one.flooded]
+        served = service(beside, first, until)
+        out["beside"] = served.earned / served.offered
+    return out
 
 
 def figures(script: scripts.Script, result: Result) -> dict[str, float]:
@@ -222,6 +238,21 @@
         side_by_side(load(path), names, seeds, ROWS)
 
 
+@cli.command()
+@click.option("--seeds", default=20)
+def guards(seeds: int) -> None:
+    """What each part guards that earns nothing where gateways heed and nothing floods."""
+    flood = load("examples/storms/flood.hcl")
+    side_by_side(flood, ["ours", "without door"], seeds, ["service", "beside", "dials", "rules broken"])
+    deaf = load("examples/storms/honour-100.hcl")
+    deaf = replace(deaf, title="no notices", callers=replace(deaf.callers, follows=False))
+    rows = ["service", "dials", "most dials/s", "rules broken"]
+    side_by_side(deaf, ["ours", "without slots"], seeds, rows)
+    side_by_side(load("examples/storms/in-step.hcl"), ["ours", "without slots"], seeds, rows)
+    reconnect = load("examples/storms/reconnect.hcl")
+    side_by_side(reconnect, ["ours", "without gate"], seeds, ["service", "most hellos/s", "rules broken"])
+
+
 @cli.command()
 @click.option("--seeds", default=20)
 def quiet(seeds: int) -> None:
--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -226,7 +226,7 @@
         if not transit:
             wanted = (asker.name, asked.bearer_type, asked.destination, asked.number)
             call.seen = self.sight.asked(now, wanted, asked.repeat, asked.cut_before)
-            self.storms.watch.call(now, call.seen)
+            self.storms.watch.call(now, call.seen, asker.name)
         self.calls[call.id] = asker.calls[asked.termination] = call
         self.guard.arrived(call.id, call.abandon_at)
         call.overdue = self.kernel.at(
@@ -654,6 +654,8 @@
         """A standing call was cut beyond us: its asker is told."""
         call = one.call
         self.counts.add("cut")
+        if call.seen is not None:
+            self.storms.watch.cut(self.kernel.now(), call.asker.name)
         self.end_try(one, free=False)
         self.forget(call)
         self.post(api.TryEnded(call.id, one.exchange, "reset", 0, one.number, True))
--- a/peattrestle/rehearsal/trouble.py
+++ b/peattrestle/rehearsal/trouble.py
@@ -253,7 +253,8 @@
         last = {gateway.number: gateway for gateway in self.world.gateways}
         floods = [gateway for number, gateway in last.items() if number in numbers]
         for gateway in floods:
-            gateway.flood, gateway.multiple = True, max(1.0, one.figure)
+            gateway.flood = gateway.flooded = True
+            gateway.multiple = max(1.0, one.figure)
         self.world.set_rates()
 
         def undo() -> None:
--- a/peattrestle/standin/callers.py
+++ b/peattrestle/standin/callers.py
@@ -150,6 +150,8 @@
         self.waiting_delay = 0  # as the agent told it
         self.wanted = Event(kernel)  # a caller dials while there is no connection
         self.multiple = 1.0  # of its part of the exchange's calls
+        self.greetings: list[int] = []  # when its restarts were taken
+        self.flooded = False  # it has flooded at some time
         self.flood = False  # offers what it likes and heeds nothing
         kernel.spawn(self.connect(), self.name)
 
@@ -216,6 +218,7 @@
         """Calls that were not answered are lost with the connection; their callers dial again."""
         self.session = self.stream = None
         self.ready = False
+        self.bucket = Bucket()  # notices end with the connection
         self.transactions.lost()
         for dial in [one for one in self.dials.values() if one.state == "ending"]:
             self.owed.append(dial.termination)
@@ -235,6 +238,7 @@
                 self.cut(dial)
         self.run = run
         self.ready = True
+        self.greetings.append(self.kernel.now())
         owed, self.owed = self.owed[-10_000:], []
         for termination in owed:
             self.release(termination)
--- a/peattrestle/storms/watch.py
+++ b/peattrestle/storms/watch.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from peattrestle.storms.measure import SECOND, Faded, Histogram
@@ -66,10 +67,23 @@
         self.tries = Histogram((1, 2, 3, 5, 8), 4 * SECOND)  # which try of its caller a call was
         self.kept = Histogram((0.5, 0.9, 1.1, 2.0), 4 * SECOND)  # when callers came, in shares of the advice
         self.away = Histogram((0.1, 0.5, 2.0, 10.0), 4 * SECOND)  # seconds a gateway was gone
+        self.back = Histogram(
+            (0.5, 1.0, 2.0, 5.0), 4 * SECOND
+        )  # seconds from a gateway's last cut to a return
+        self._cuts: OrderedDict[str, int] = OrderedDict()
         self.gateways = 0
         self.levels = {kind: _Level() for kind in MARKS}
 
-    def call(self, now: int, seen: Seen) -> None:
+    MOST_CUTS = 1000
+
+    def cut(self, now: int, gateway: str) -> None:
+        """A standing call of this gateway was cut. The gateway whose last cut is longest ago is forgotten."""
+        self._cuts[gateway] = now
+        self._cuts.move_to_end(gateway)
+        if len(self._cuts) > self.MOST_CUTS:
+            self._cuts.popitem(last=False)
+
+    def call(self, now: int, seen: Seen, gateway: str = "") -> None:
         if seen.kind == FIRST:
             self.first.add(now)
         elif seen.kind == FURTHER:
@@ -81,6 +95,8 @@
         else:
             self.returned.add(now)
             self._count(RETURN)
+            if gateway in self._cuts:
+                self.back.note(now, (now - self._cuts[gateway]) / SECOND)
         self.tries.note(now, seen.tries)
 
     def connected(self, now: int, gateways: int, away: int) -> None:
@@ -152,5 +168,6 @@
         return (
             f"{share:.0%} of {self.offered(now):.1f} calls a second are {what}, "
             f"{self.without(now):.1f} without repeats; tries {self.tries.text(now)}; "
-            f"came at {self.kept.text(now) or '-'} of the time told"
+            f"came at {self.kept.text(now) or '-'} of the time told, "
+            f"after cuts {self.back.text(now, ' s') or '-'}"
         )
--- a/tests/registry/test_follower.py
+++ b/tests/registry/test_follower.py
@@ -244,6 +244,13 @@
     (wait,) = one.broken(1.0)
     assert wait == Wait(one.least)
     one.due()
+    for _ in range(4):
+        one.broken(1.0)
+        one.due()
+    one.failed(Failed(etcd.OUT_OF_RANGE, "compacted"), 0.5)
+    one.read(registry.range())
+    assert one.broken(1.0) == [Wait(one.least)]  # a read is news too
+    one.due()
     assert one.failed(Failed(etcd.OUT_OF_RANGE, "compacted"), 0.5) == [Read()]
 
 
--- a/tests/storms/test_agent.py
+++ b/tests/storms/test_agent.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from peattrestle import interface as api
 from peattrestle.h248 import package, text
 from peattrestle.h248.package import BadValue, RateNotice
 from peattrestle.h248.session import Session
@@ -81,6 +82,15 @@
                     outcome = package.read_outcome(heard.reply)
                     codes.append((outcome.code, outcome.come_back))
 
+    handle, held = town.agent.controller.handle, list[int]()
+
+    def spied(now: int, events: Any) -> Any:
+        events = list(events)
+        held.extend(one.call for one in events if isinstance(one, api.CallArrived) and one.held)
+        return handle(now, events)
+
+    town.agent.controller.handle = spied  # type: ignore[method-assign]
+
     def body() -> Coroutine[None]:
         yield from town.kernel.sleep(SECOND)
         session, stream = yield from town.gateway()
@@ -92,7 +102,7 @@
 
     town.run(body())
     assert len(codes) == 300  # one final answer each, held at the door or behind it
-    assert town.agent.counts.values["held_to_share"] > 10
+    assert len(held) == town.agent.counts.values["held_to_share"] > 10
     assert all(come_back > 0 for code, come_back in codes if code == package.REFUSED)
     assert notices[0].lifetime > 0 and notices[0].rate < 200
     assert notices[-1].lifetime == 0  # lifted
--- a/tests/storms/test_sight.py
+++ b/tests/storms/test_sight.py
@@ -60,6 +60,13 @@
     assert (third.tries, third.first_at, third.due_at) == (3, 0, 0)
 
 
+def test_a_caller_gives_up_for_good_however_late_its_last_try_was() -> None:
+    one = sight()
+    turned_away(one, 0)
+    turned_away(one, 5000 * MS)
+    assert one.asked(9500 * MS, KEY, False, False).kind == FIRST
+
+
 def test_unmarked_calls_of_a_gateway_that_marks_are_first_ones() -> None:
     one = sight()
     turned_away(one, 0, marked=True)
