--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -16,6 +16,7 @@
 from peattrestle.agent.calls import OPEN, OVER, STANDS, Call, Counts, RouteTry
 from peattrestle.agent.guard import Guard
 from peattrestle.agent.link import Link, Release
+from peattrestle.agent.registry import Registry
 from peattrestle.agent.storms import Storms
 from peattrestle.control import Controller
 from peattrestle.h248 import package
@@ -23,6 +24,7 @@
 from peattrestle.h248.session import BadPeer, Garbled, Heard, Session
 from peattrestle.h248.text import Action, Command, Reply, Request
 from peattrestle.h248.transactions import Answered, Full, New, Stray, Transactions
+from peattrestle.membership.roll import Told
 from peattrestle.runtime import Coroutine, Event, Kernel, Listener, Lost, Refused, Stream
 from peattrestle.settings.agent import Agent as Settings
 
@@ -90,7 +92,10 @@
         kept = listing.unpack(self.kernel.now(), self.store.load())
         if kept is not None:
             self.listed("cached", kept)
-        self.kernel.spawn(self.follow_list(), "list")
+        if self.settings.registry.endpoints:
+            self.kernel.spawn(self.registry().run(), "registry")
+        else:
+            self.kernel.spawn(self.follow_list(), "list")
         listener = self.listener = self.kernel.listen(self.settings.callers)
         self.address = listener.address
         yield from self.settle()
@@ -823,6 +828,35 @@
             yield from self.kernel.sleep(round(wait * (1 + draw.random()) / 2))
             wait = min(2 * wait, links.retry_most)
 
+    def registry(self) -> Registry:
+        links, given = self.settings.links, self.settings.registry
+        return Registry(
+            self.kernel,
+            given.endpoints,
+            given.prefix,
+            self.registered,
+            self.log,
+            self.counts.add,
+            self.settings.label,
+            links.dial_timeout,
+            given.answer_timeout,
+            given.quiet,
+            given.retry_least,
+            given.retry_most,
+        )
+
+    def registered(self, whole: bool, told: Told) -> None:
+        """What the roll says, as the list's rows. `started` is told by a clock that may be set: an age that
+        can't be is none."""
+        rows = []
+        for member in told.members:
+            entry = member.entry
+            age = self.kernel.wall() - round(entry.started * 1e9) if entry.started else -1
+            if not 0 <= age < 10**18:
+                age = -1
+            rows.append(listing.Row(member.name, entry.number, entry.state, entry.address, entry.zone, age))
+        self.listed("full" if whole else "delta", rows)
+
     def listed(self, form: str, rows: list[listing.Row]) -> None:
         now = self.kernel.now()
         if form == "failed":
--- a/peattrestle/agent/link.py
+++ b/peattrestle/agent/link.py
@@ -101,14 +101,9 @@
         self.session = session = Session(
             self.mid, self.transactions, stream.write, self.settings.limits.message
         )
-        session.request(
-            "hello",
-            lambda number: package.service_change_text(
-                number,
-                "Restart",
-                "901 Cold Boot",
-                f"Version=1,ptc/num={self.settings.number},ptc/run={self.run_name}",
-            ),
+        hello = session.request("hello", self.hello_text)
+        self.kernel.at(
+            self.kernel.now() + self.settings.links.release_repeat, lambda: self.hello_again(session, hello)
         )
         self.heard_at = self.greeted_at = self.kernel.now()
         self.audits = 0
@@ -137,6 +132,22 @@
         finally:
             keeper.cancel()
 
+    def hello_text(self, number: int) -> str:
+        return package.service_change_text(
+            number,
+            "Restart",
+            "901 Cold Boot",
+            f"Version=1,ptc/num={self.settings.number},ptc/run={self.run_name}",
+        )
+
+    def hello_again(self, session: Session, number: int) -> None:
+        """Until it is answered: the answer alone tells that the exchange has started anew, and so that it is
+        cold, and that what was set up before is gone. The same transaction: it is carried out once."""
+        if self.session is session and self.transactions.open.get(number) == "hello":
+            session.send(self.hello_text(number))
+            again = self.kernel.now() + self.settings.links.release_repeat
+            self.kernel.at(again, lambda: self.hello_again(session, number))
+
     def keep_alive(self, stream: Stream) -> Coroutine[None]:
         """Two audits without any answer end the link: a peer that accepts and never speaks is no link."""
         period = self.settings.links.keepalive
--- a/peattrestle/agent/registry.py
+++ b/peattrestle/agent/registry.py
@@ -109,7 +109,7 @@
         endpoint = self.endpoints[0]
         stream = yield from self.kernel.connect(endpoint, self.dial, self.label)
         try:
-            talk = Conversation(endpoint)
+            talk = Conversation(endpoint, f"peattrestle/{self.label}")
             if isinstance(wanted, Read):
                 stream.write(talk.request("POST", etcd.RANGE, etcd.range_of(self.prefix)))
                 body = yield from self.kernel.within(
--- a/peattrestle/registry/http.py
+++ b/peattrestle/registry/http.py
@@ -41,10 +41,11 @@
 
 
 class Conversation:
-    """Requests one after another over one connection. `host` goes into each request's Host field."""
+    """Requests one after another over one connection. `host` and `agent` go into each request's Host and
+    User-Agent fields."""
 
-    def __init__(self, host: str) -> None:
-        self.host = host
+    def __init__(self, host: str, agent: str = "peattrestle") -> None:
+        self.host, self.agent = host, agent
         self._connection = h11.Connection(h11.CLIENT)
 
     def request(
@@ -53,7 +54,12 @@
         """The bytes of a request. Raises BadAnswer where the last answer has not ended."""
         if self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE:
             self._connection.start_next_cycle()
-        headers = [("Host", self.host), ("Content-Length", str(len(body))), *fields]
+        headers = [
+            ("Host", self.host),
+            ("User-Agent", self.agent),
+            ("Content-Length", str(len(body))),
+            *fields,
+        ]
         if body:
             headers.append(("Content-Type", "application/json"))
         try:
--- a/peattrestle/rehearsal/nights.py
+++ b/peattrestle/rehearsal/nights.py
@@ -60,6 +60,7 @@
             spare=chance.uniform(0.9, 1.5),
             wait_limit=chance.randint(800, 3000) * MS,
             urgent_first=chance.random() < 0.5,
+            registry=chance.random() < 0.3,
         ),
         callers=Callers(redials=chance.randint(0, 3), honours=chance.choice((0.0, 0.5, 1.0))),
         rules=Rules(
--- a/peattrestle/rehearsal/script.py
+++ b/peattrestle/rehearsal/script.py
@@ -54,6 +54,7 @@
     wait_limit: int = schema.duration(
         "2s", "1ms", "1min", "a processor with a longer wait turns set-ups away"
     )
+    registry: bool = schema.flag(False, "the exchange list is kept in a key-value registry")
     urgent_first: bool = schema.flag(True, "answers and releases go ahead of new set-ups")
     list_late_least: int = schema.duration("500ms", "0ms", "1min", "the list's news comes at least this late")
     list_late_most: int = schema.duration("2500ms", "0ms", "1min", "and at most this late")
--- a/peattrestle/rehearsal/world.py
+++ b/peattrestle/rehearsal/world.py
@@ -11,6 +11,7 @@
 from peattrestle.standin.callers import BearerFigures, Gateway, Habits, Traffic
 from peattrestle.standin.exchange import StandinExchange
 from peattrestle.standin.fabric import Fabric, Figures
+from peattrestle.standin.hubs import HubRegistry
 from peattrestle.standin.listing import ListSource
 from peattrestle.standin.record import Record
 
@@ -60,7 +61,8 @@
         self.weights = self._plan(count)
         for number in range(count):
             self.fabric.regions[number] = fleet.regions[number % len(fleet.regions)]
-        self.list = ListSource(
+        source = HubRegistry if fleet.registry else ListSource
+        self.list: HubRegistry | ListSource = source(
             kernel, self.record, "127.0.0.1:0", fleet.list_late_least, fleet.list_late_most
         )
         self.list.regions = self.fabric.regions
@@ -133,7 +135,10 @@
             label=f"a{number}",
             number=number,
             callers=callers,
-            list=self.list.address,
+            list="" if script.fleet.registry else self.list.address,
+            registry=settings.Registry(
+                endpoints=(self.list.address,) if script.fleet.registry else (), retry_most=SECOND
+            ),
             state=state,
             agents=script.fleet.exchanges,
             seed=script.seed * 1000 + number + 1,
--- a/peattrestle/runtime/epoll.py
+++ b/peattrestle/runtime/epoll.py
@@ -268,6 +268,9 @@
     def now(self) -> int:
         return time.monotonic_ns()
 
+    def wall(self) -> int:
+        return time.time_ns()
+
     def adopt(self, sock: socket.socket, peer: str) -> EpollStream:
         sock.setblocking(False)
         with contextlib.suppress(OSError):
--- a/peattrestle/runtime/kernel.py
+++ b/peattrestle/runtime/kernel.py
@@ -302,6 +302,10 @@
     def now(self) -> int:
         raise NotImplementedError
 
+    def wall(self) -> int:
+        """Nanoseconds since 1970 where the kernel knows them; it may be set, so nothing is timed by it."""
+        return self.now()
+
     def chance(self, name: str) -> random.Random:
         """A generator of its own for each purpose, so that one more draw here changes nothing there."""
         return random.Random(f"{self.seed}/{name}")
--- a/peattrestle/settings/agent.py
+++ b/peattrestle/settings/agent.py
@@ -91,12 +91,26 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True)
+class Registry:
+    endpoints: tuple[str, ...] = schema.texts((), (), "its members, host:port; one is used at a time")
+    prefix: str = schema.text("/peattrestle/exchanges/", "the keys of the exchanges begin with this")
+    answer_timeout: int = schema.duration(
+        "2s", "10ms", "1min", "a read without an answer is given up after this"
+    )
+    quiet: int = schema.duration(
+        "10s", "100ms", "1h", "a watch that has said nothing for so long is taken up anew from where it was"
+    )
+    retry_least: int = schema.duration("100ms", "1ms", "1min", "first wait after a break; doubles, drawn")
+    retry_most: int = schema.duration("5s", "10ms", "10min", "longest such wait")
+
+
 @dataclass(frozen=True, kw_only=True)
 class Agent:
     label: str = schema.name("", "the agent's name: its message identifier is <name>")
     number: int = schema.whole(schema.REQUIRED, 0, 1_000_000, "number of the exchange that it runs beside")
     callers: str = schema.address(schema.REQUIRED, "port that gateways of callers connect to")
-    list: str = schema.address(schema.REQUIRED, "where the exchange list is pushed from")
+    list: str = schema.address("", "where the exchange list is pushed from; empty: it is in a registry")
     state: str = schema.text("", "folder for the last list; empty: none is kept")
     seed: int = schema.whole(0, 0, (1 << 62), "seed of all chance; 0: drawn at the start")
     agents: int = schema.whole(schema.REQUIRED, 1, 10_000, "agents in the network, this one counted")
@@ -114,6 +128,7 @@
     rules: Rules = schema.block(Rules, "figures of the rules")
     limits: Limits = schema.block(Limits, "bounds")
     links: Links = schema.block(Links, "links to exchanges")
+    registry: Registry = schema.block(Registry, "the key-value registry that has the exchange list")
     bearer: tuple[Bearer, ...] = schema.blocks(Bearer, "at least one bearer type", least=1)
 
 
@@ -146,6 +161,20 @@
         for one in agent.bearer
         if one.gos_target > one.abandon_time
     ]
+    if bool(agent.list) == bool(agent.registry.endpoints):
+        which = "both list and" if agent.list else "neither list nor"
+        faults.append(
+            Fault(path, top.blocks[0].line, f"{which} registry endpoints are given: one of them is")
+        )
+    faults += [
+        Fault(
+            path,
+            top.blocks[0].line,
+            f"registry: endpoint '{one}' must be a loopback address, like 127.0.0.1:2379",
+        )
+        for one in agent.registry.endpoints
+        if not schema.is_address(one)
+    ]
     if agent.links.retry_least > agent.links.retry_most:
         faults.append(Fault(path, top.blocks[0].line, "links: retry_least is longer than retry_most"))
     return (None, faults) if faults else (agent, [])
--- a/peattrestle/settings/schema.py
+++ b/peattrestle/settings/schema.py
@@ -89,7 +89,8 @@
 
 
 def address(default: Any, sentence: str) -> Any:
-    return _setting(Kind("address", sentence), default)
+    """Where the default is empty, so may the setting be."""
+    return _setting(Kind("address", sentence, choices=("",) if default == "" else ()), default)
 
 
 def choice(default: Any, choices: tuple[str, ...], sentence: str) -> Any:
@@ -121,6 +122,10 @@
     return f"{int(value)}ns"
 
 
+def is_address(value: Any) -> bool:
+    return _address(value) is not None
+
+
 def _address(value: Any) -> str | None:
     match = (
         re.fullmatch(r"127\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})", value)
@@ -160,7 +165,7 @@
             good = isinstance(value, str) and _NAME.fullmatch(value) is not None
             return (value, "") if good else (None, "must be a name of letters, digits, '.', '_' and '-'")
         case "address":
-            good = _address(value) is not None
+            good = value in kind.choices or is_address(value)
             return (value, "") if good else (None, 'must be a loopback address, like "127.0.0.1:2944"')
         case "choice":
             wanted = "must be one of " + ", ".join(f'"{one}"' for one in kind.choices)
--- a/peattrestle/standin/registry.py
+++ b/peattrestle/standin/registry.py
@@ -36,6 +36,7 @@
     low: bytes
     high: bytes
     next: int
+    agent: str = ""
     queue: list[dict[str, Any]] = field(default_factory=list)
 
 
@@ -49,7 +50,8 @@
         self.faults = Faults()
         self.requests: list[tuple[int, str]] = []
         self.streams: list[Stream] = []
-        self.on_news: Callable[[int, bytes], None] = lambda revision, key: None
+        # Told to whom (its User-Agent), of which key, and its value or None: as the bytes are sent.
+        self.on_told: Callable[[str, bytes, bytes | None], None] = lambda agent, key, value: None
         self.listener: Listener = kernel.listen(address)
         self.address = self.listener.address
         kernel.spawn(self.run(), "registry")
@@ -104,7 +106,6 @@
         self.history.append((self.revision, event))
         for one in list(self.watchers):
             if one.low <= name < one.high:
-                self.on_news(self.revision, name)
                 self._news(one, [event])
 
     # The wire.
@@ -146,11 +147,15 @@
                     continue
                 held = body[length:]
                 target = first.split(b" ")[1].decode()
+                agent = next(
+                    (one.partition(b":")[2] for one in fields if one.lower().startswith(b"user-agent")), b""
+                ).decode("ascii", "replace")
+                agent = agent.strip().removeprefix("peattrestle/")
                 self.requests.append((self.kernel.now(), target))
                 if self.faults.late:
                     yield from self.kernel.sleep(self.faults.late)
                 if not self.faults.mute:
-                    self.answer(stream, target, json.loads(body[:length] or b"{}"))
+                    self.answer(stream, agent, target, json.loads(body[:length] or b"{}"))
             stream.abort()
         except Lost:
             pass
@@ -174,19 +179,21 @@
         head = f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
         self.write(stream, head.encode() + data)
 
-    def answer(self, stream: Stream, target: str, asked: dict[str, Any]) -> None:
+    def answer(self, stream: Stream, agent: str, target: str, asked: dict[str, Any]) -> None:
         if self.faults.error:
             self.whole(stream, f"{self.faults.error} Broken", {"error": "no leader", "code": 14})
         elif target == "/v3/kv/range":
             low, high = base64.b64decode(asked["key"]), base64.b64decode(asked["range_end"])
             found = [kv for name, kv in sorted(self.keys.items()) if low <= name < high]
+            for kv in found:
+                self.on_told(agent, base64.b64decode(kv["key"]), base64.b64decode(kv["value"]))
             self.whole(stream, "200 OK", {"header": self.header(), "kvs": found, "count": str(len(found))})
         elif target == "/v3/watch":
-            self.watch(stream, asked["create_request"])
+            self.watch(stream, agent, asked["create_request"])
         else:
             self.whole(stream, "404 Not Found", {"error": "not here", "code": 5})
 
-    def watch(self, stream: Stream, asked: dict[str, Any]) -> None:
+    def watch(self, stream: Stream, agent: str, asked: dict[str, Any]) -> None:
         since = int(asked.get("start_revision", self.revision + 1))
         head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
         self.write(stream, head)
@@ -197,7 +204,7 @@
             self.write(stream, b"0\r\n\r\n")
             return
         low, high = base64.b64decode(asked["key"]), base64.b64decode(asked["range_end"])
-        one = Watcher(stream, low, high, since)
+        one = Watcher(stream, low, high, since, agent)
         self.watchers.append(one)
         missed = [event for at, event in self.history if at >= since]
         mine = [event for event in missed if low <= base64.b64decode(event["kv"]["key"]) < high]
@@ -209,6 +216,9 @@
         if self.faults.news_stuck or self.faults.away:
             return  # held up, in order: a watch never leaves one out
         events, one.queue = one.queue, []
+        for event in events:
+            value = base64.b64decode(event["kv"]["value"]) if "value" in event["kv"] else None
+            self.on_told(one.agent, base64.b64decode(event["kv"]["key"]), value)
         for _ in range(2 if self.faults.doubled else 1):
             self.line(one.stream, {"header": self.header(), "events": events})
 
--- a/tests/agent/test_bounds.py
+++ b/tests/agent/test_bounds.py
@@ -253,3 +253,23 @@
     assert town.answers() == {}
     assert town.agent.counts.values.get("guard_refusals", 0) == 0
     assert town.agent.calls == {} and town.world.fabric.leaks() == 0
+
+
+def test_a_hello_without_an_answer_is_sent_again_and_what_the_exchange_forgot_is_let_go() -> None:
+    """A replaced exchange's answer was lost once, and the agent went on holding calls in transit for nobody."""
+    town = Town(Limits())
+    exchange = town.world.fabric.exchanges[0]  # the agent's own
+    told: list[int] = []
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        exchange.restart_cold()
+        exchange.flags.mute = True  # connections are made, and the answer to the hello does not leave
+        yield from town.kernel.sleep(600 * MS)
+        exchange.flags.mute = False
+        before = town.agent.guard.exchanges[exchange.name].cold_until
+        yield from town.kernel.sleep(3 * SECOND)
+        told.extend((before, town.agent.guard.exchanges[exchange.name].cold_until))
+
+    town.run(body())
+    assert told[0] == 0 and told[1] > 0
