--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -189,11 +189,12 @@
 
 
 def bar(values: list[float]) -> str:
-    """Mean and half a 95% interval by Student's t of 19 degrees; assumes means near to normal."""
+    """Mean and half a 95% interval by Student's t; assumes means near to normal."""
     mean = statistics.mean(values)
     if len(values) < 2:
         return f"{mean:.3f}"
-    return f"{mean:.3f} ±{2.09 * statistics.stdev(values) / len(values) ** 0.5:.3f}"
+    t = {5: 2.78, 10: 2.26, 20: 2.09}.get(len(values), 2.0)
+    return f"{mean:.3f} ±{t * statistics.stdev(values) / len(values) ** 0.5:.3f}"
 
 
 def side_by_side(script: scripts.Script, variants: list[str], seeds: int, rows: list[str]) -> None:
--- a/tests/agent/test_bounds.py
+++ b/tests/agent/test_bounds.py
@@ -256,7 +256,7 @@
 
 
 def test_a_hello_without_an_answer_is_sent_again_and_what_the_exchange_forgot_is_let_go() -> None:
-    """A replaced exchange's answer was lost once, and the agent went on holding calls in transit for nobody."""
+    """A replaced exchange's answer was lost once, and its agent held calls in transit for nobody."""
     town = Town(Limits())
     exchange = town.world.fabric.exchanges[0]  # the agent's own
     told: list[int] = []
