--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -29,6 +29,13 @@
     assert [(one.label, one.gos_target) for one in agent.bearer] == [("line", 1_500_000_000)]
 
 
+def test_a_registry_in_place_of_a_list() -> None:
+    text = GOOD.replace('list    = "127.0.0.1:7000"', 'registry { endpoints = ["127.0.0.1:2379"] }')
+    agent, faults = parse(text, "x.hcl")
+    assert faults == [] and agent is not None and agent.registry.endpoints == ("127.0.0.1:2379",)
+    assert parse(schema.to_hcl(agent, "agent"), "y.hcl") == (agent, [])
+
+
 def test_what_is_shown_reads_back_to_the_same() -> None:
     agent, _ = parse(GOOD, "x.hcl")
     assert parse(schema.to_hcl(agent, "agent"), "y.hcl") == (agent, [])
@@ -53,6 +60,14 @@
             7,
             "is not a setting of rules; the nearest known name is 'release_time'",
         ),
+        ('list    = "127.0.0.1:7000"', "", 2, "neither list nor registry endpoints are given"),
+        ("  rules {", 'registry { endpoints = ["127.0.0.1:2379"] }\n  rules {', 2, "both list and registry"),
+        (
+            'list    = "127.0.0.1:7000"',
+            'registry { endpoints = ["registry:2379"] }',
+            2,
+            "endpoint 'registry:2379' must be a loopback address",
+        ),
         ('bearer "line"', "bearer", 8, "needs one name in quotes"),
         ('bearer "line"', 'barer "line"', 8, "the nearest known name is 'bearer'"),
         ('"1.5s"', '"30s"', 2, "gos_target is longer than abandon_time"),
