--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -5,6 +5,7 @@
     python benchmarks/storms.py quiet     [--seeds 20]   days without trouble, off and ours
     python benchmarks/storms.py seeds SCRIPT [--seeds 20]  one script with its own checks
     python benchmarks/storms.py size      [--exchanges 60]  600 calls a second for a minute
+    python benchmarks/storms.py report SCRIPT FOLDER [--variant off]  one run's report, for `peattrestle plot`
     python benchmarks/storms.py cost                     microseconds for each event, by gateways and calls
 
 A part is taken out by putting something idle in its place, here and nowhere in the program.
@@ -18,6 +19,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import click
@@ -25,6 +27,7 @@
 from peattrestle import control
 from peattrestle import interface as api
 from peattrestle.agent import storms as agent_storms
+from peattrestle.rehearsal import report as reports
 from peattrestle.rehearsal import script as scripts
 from peattrestle.rehearsal.play import Player, Result
 from peattrestle.standin.callers import service
@@ -292,6 +295,18 @@
         click.echo(f"{name}: " + ", ".join(f"{key} {value:.3f}" for key, value in result.items()))
 
 
+@cli.command()
+@click.argument("path")
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--variant", default="ours")
+@click.option("--seed", default=1)
+def report(path: str, folder: Path, variant: str, seed: int) -> None:
+    """One run's report, for `peattrestle plot`."""
+    if variant in VARIANTS:
+        VARIANTS[variant]()
+    reports.write(Player(replace(load(path), seed=seed), "virtual").play(), folder)
+
+
 @cli.command()
 def cost() -> None:
     """Sight, watch and door for one call, as the agent asks them."""
--- a/examples/storms/jam.hcl
+++ b/examples/storms/jam.hcl
@@ -40,6 +40,7 @@
   figure = 2.5
 }
 must {
+  storms       = ["retry"]
   back_to     = 0.95
   back_within = "30s"
 }
--- a/examples/storms/restored.hcl
+++ b/examples/storms/restored.hcl
@@ -37,6 +37,7 @@
   region = "south"
 }
 must {
+  storms       = ["retry"]
   back_to      = 0.95
   back_within  = "30s"
   pressed_most = 2
