--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -254,6 +254,8 @@
     side_by_side(deaf, ["ours", "without slots"], seeds, rows)
     side_by_side(load("examples/storms/in-step.hcl"), ["ours", "without slots"], seeds, rows)
     reconnect = load("examples/storms/reconnect.hcl")
+    fleet = replace(reconnect.fleet, gateways=200)
+    reconnect = replace(reconnect, title="200 gateways an agent reconnect in 50 ms", fleet=fleet)
     side_by_side(reconnect, ["ours", "without gate"], seeds, ["service", "most hellos/s", "rules broken"])
 
 
--- a/peattrestle/rehearsal/script.py
+++ b/peattrestle/rehearsal/script.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from pathlib import Path
 
 from peattrestle.settings import schema
 from peattrestle.settings.agent import Rules
-from peattrestle.settings.hcl import Fault, read_file
+from peattrestle.settings.hcl import Block, Fault, read_file
 
 KINDS = (
     "silent",
@@ -124,6 +125,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Script:
+    base: str = schema.text("", "another script, beside this one, for what is not set here")
     title: str = schema.text("rehearsal", "the report's heading")
     seed: int = schema.whole(1, 0, 1 << 62, "seed of all chance")
     kernel: str = schema.choice("virtual", ("virtual", "epoll"), "where it is played by default")
@@ -138,10 +140,39 @@
     trouble: tuple[Trouble, ...] = schema.blocks(Trouble, "what goes wrong")
 
 
+MERGED = ("fleet", "callers", "rules", "must")
+
+
+def lay_over(base: Block, top: Block) -> None:
+    """What the base sets and the script does not. The blocks of one kind are taken all from one of them, but
+    for those that stand once: their settings one by one."""
+    own = {one.name for one in top.attributes}
+    top.attributes += [one for one in base.attributes if one.name not in own]
+    kinds = {one.name: one for one in top.blocks}
+    for block in base.blocks:
+        over = kinds.get(block.name)
+        if over is None:
+            top.blocks.append(block)
+        elif block.name in MERGED:
+            lay_over(block, over)
+
+
 def load(path: str) -> tuple[Script | None, list[Fault]]:
+    """The script, laid over its base where it names one; a base has none of its own."""
     top, faults = read_file(path)
     if faults:
         return None, faults
+    named = next((one for one in top.attributes if one.name == "base"), None)
+    if named is not None and isinstance(named.value, str) and named.value:
+        beside = str(Path(path).parent / named.value)
+        base, faults = read_file(beside)
+        if not faults and any(one.name == "base" for one in base.attributes):
+            faults = [Fault(beside, 1, "is a base, and names one itself")]
+        if not faults:
+            faults = schema.check(Script, base, beside)[1]
+        if faults:
+            return None, faults
+        lay_over(base, top)
     script, faults = schema.check(Script, top, path)
     if script is None:
         return None, faults
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
 from peattrestle.rehearsal.script import load as load_script
@@ -112,3 +114,36 @@
     agent, _ = parse(GOOD, "x.hcl")
     assert isinstance(agent, Agent)
     assert agent.links.retry_least < agent.links.retry_most
+
+
+BASE = """
+title = "base"
+fleet {
+  exchanges = 6
+  busy      = 0.5
+}
+bearer "line" {}
+load { level = 1.2 }
+"""
+
+
+@pytest.mark.parametrize(
+    ("base", "script", "said"),
+    [
+        (BASE, 'fleet { busy = 0.7 }\nload { level = 0.5 }\nload {\n level = 0.6\n at = "5s"\n}', ""),
+        (None, "", "base.hcl: can't be read: No such file"),
+        (BASE + "sead = 3", "", "base.hcl:9: 'sead'"),
+        (BASE, "sead = 3", "x.hcl:2: 'sead'"),
+        ('base = "other.hcl"' + BASE, "", "base.hcl:1: is a base, and names one itself"),
+    ],
+)
+def test_a_script_laid_over_its_base(tmp_path: Path, base: str | None, script: str, said: str) -> None:
+    if base is not None:
+        (tmp_path / "base.hcl").write_text(base)
+    (tmp_path / "x.hcl").write_text('base = "base.hcl"\n' + script)
+    read, faults = load_script(str(tmp_path / "x.hcl"))
+    if said:
+        assert read is None and said in "\n".join(str(one) for one in faults)
+    else:
+        assert read is not None and (read.title, read.fleet.exchanges, read.fleet.busy) == ("base", 6, 0.7)
+        assert [(one.at, one.level) for one in read.load] == [(0, 0.5), (5_000_000_000, 0.6)]
