--- a/tests/rehearsal/test_storms.py
+++ b/tests/rehearsal/test_storms.py
@@ -47,7 +47,7 @@
         ([1.0] * 5 + [0.2] * 3 + [1.0] * 6, 0),
         ([1.0] * 5 + [0.2] * 3 + [0.5, 0.5] + [1.0] * 5, 2),
         ([1.0] * 5 + [0.2] * 9, -1),
-        ([1.0] * 5 + [0.2] * 3 + [0.99, 0.9, 0.99, 0.9, 0.99, 0.9] + [0.97] * 4, 2),
+        ([1.0] * 5 + [0.2] * 3 + [0.99, 0.8, 0.99, 0.8] + [0.97] * 4, 4),
     ],
 )
 def test_when_service_is_back(service: list[float], after: int) -> None:
