--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -581,7 +581,7 @@
         """The only place that sends: one try out, none in the release time, none to a leaving exchange."""
         now = self.loop.now
         patience = call.asked.abandon_at - now - 2 * self.loop.settings.get("step", 0)
-        spent = call.tries > 0 and self.further < 1
+        spent = call.tries > 0 and self.further < 1 and self.strain(1.0) > self.STRAIN_MOST / 5
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0 or spent:
             self.block(call)
             return
