A gateway that answers no notice does not end the storm parts of its agent

Need: each notice stays open until it is answered; at the bound the request raised, and with it ended the one coroutine that looks for storms, for all gateways. The word of a cut went the same way. Change: Asker.tell does not send where as many are open as may be. The test fails without it.

--- a/peattrestle/agent/asker.py
+++ b/peattrestle/agent/asker.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import OrderedDict
 from collections.abc import Callable
 
 from peattrestle.agent.calls import Call
 from peattrestle.h248.session import Session
-from peattrestle.h248.transactions import Transactions
+from peattrestle.h248.transactions import Full, Transactions
 from peattrestle.runtime import Stream
 
 
@@ -30,9 +31,11 @@
             self.transactions.answer(number, parts)
 
     def tell(self, build: Callable[[int], str]) -> None:
-        """A request that nothing hangs on; it is not sent where there is no connection."""
+        """A request that nothing hangs on; it is not sent where there is no connection, nor to one that has
+        left as many unanswered as may be open."""
         if self.session is not None:
-            self.session.request(None, build)
+            with contextlib.suppress(Full):
+                self.session.request(None, build)
 
 
 class Askers:
--- a/tests/storms/test_agent.py
+++ b/tests/storms/test_agent.py
@@ -109,6 +109,20 @@
     assert [one.number for one in notices] == sorted({one.number for one in notices})
 
 
+def test_a_gateway_that_answers_no_notice_ends_nobody_elses() -> None:
+    town = Town(Limits(open_requests=1))
+    town.agent.storms.door.notices = lambda: {"<g0>": town.kernel.now() / SECOND}  # type: ignore[method-assign]
+
+    def body() -> Coroutine[None]:
+        yield from town.kernel.sleep(SECOND)
+        _, stream = yield from town.gateway()
+        yield from town.kernel.sleep(5 * SECOND)
+        stream.close()
+
+    town.run(body())
+    assert town.agent.counts.values["notices"] > 2 and town.kernel.crashes == []
+
+
 @pytest.mark.parametrize(
     ("event", "fault"),
     [
