--- a/peattrestle/agent/storms.py
+++ b/peattrestle/agent/storms.py
@@ -75,7 +75,7 @@
             notice = notices.get(asker.name)
             if notice is not None and asker.session is not None:
                 self.count("notices" if notice.lifetime else "notices_lifted")
-                event = package.rate_event(package.RateNotice(notice.rate, notice.lifetime, notice.number))
+                event = package.rate_event(notice)
                 asker.tell(lambda number, event=event: package.notify_text(number, "-", "ROOT", [event]))  # type: ignore[misc]
 
     def lets(self, gateway: str, worth: float) -> bool:
--- a/peattrestle/h248/package.py
+++ b/peattrestle/h248/package.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from peattrestle.h248.text import Action, Command, Item, Reply, quoted
+from peattrestle.storms.notice import Notice as Notice  # the codec writes and reads it for both sides
 
 PROFILE = "peattrestle/1"
 # Published error codes that the call path uses.
@@ -261,21 +262,11 @@
     return observed is not None and any(one.name.endswith("ptc/cut") for one in observed.items or ())
 
 
-@dataclass(slots=True, frozen=True)
-class RateNotice:
-    """What a gateway may offer: `rate` calls a second for `lifetime` nanoseconds; a lifetime of 0 lifts it.
-    Of two notices the one with the higher `number` holds."""
-
-    rate: float
-    lifetime: int
-    number: int
-
-
-def rate_event(notice: RateNotice) -> str:
+def rate_event(notice: Notice) -> str:
     return f"ptl/rat{{cps={notice.rate:.3f},val={notice.lifetime},seq={notice.number}}}"
 
 
-def read_rate(command: Command) -> RateNotice | None:
+def read_rate(command: Command) -> Notice | None:
     """The notice in a Notify; None where there is none. Raises BadValue."""
     observed = command.find("ObservedEvents")
     for item in observed.items or () if observed is not None else ():
@@ -283,7 +274,7 @@
             values = {one.name: one.value or "" for one in item.items or ()}
             if re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,9})?", values.get("cps", "")) is None:
                 raise BadValue("ptl/rat cps must be calls a second, as 12.5")
-            return RateNotice(
+            return Notice(
                 float(values["cps"]),
                 _whole("ptl/rat val", values.get("val"), 0, MOST_DURATION),
                 _whole("ptl/rat seq", values.get("seq"), 0, 1 << 62),
--- a/peattrestle/standin/callers.py
+++ b/peattrestle/standin/callers.py
@@ -97,7 +97,7 @@
         self.rate, self.until, self.number = 0.0, 0, -1
         self.full, self.at = 0.0, 0
 
-    def told(self, now: int, notice: package.RateNotice) -> None:
+    def told(self, now: int, notice: package.Notice) -> None:
         if notice.number > self.number:
             if now >= self.until:
                 self.full, self.at = 0.0, now
--- a/peattrestle/storms/measure.py
+++ b/peattrestle/storms/measure.py
@@ -45,12 +45,6 @@
         self._fade(now)
         self.bins[bisect_left(self.edges, value)] += 1
 
-    def share_above(self, now: int, edge: float) -> float:
-        """Of all; 0 where nothing was noted. `edge` is one of the edges."""
-        self._fade(now)
-        total = sum(self.bins)
-        return sum(self.bins[bisect_left(self.edges, edge) + 1 :]) / total if total > 0.01 else 0.0
-
     def text(self, now: int, unit: str = "") -> str:
         """For a log line: '<=0.5s 3, <=1s 12, more 1'."""
         self._fade(now)
--- a/peattrestle/storms/notice.py
+++ b/peattrestle/storms/notice.py
@@ -14,7 +14,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Notice:
-    """`rate`: calls a second. `lifetime`: nanoseconds; 0 lifts what was in force. `number` grows."""
+    """What a gateway may offer: `rate` calls a second for `lifetime` nanoseconds; a lifetime of 0 lifts it.
+    Of two notices the one with the higher `number` holds."""
 
     rate: float
     lifetime: int
--- a/peattrestle/storms/restarts.py
+++ b/peattrestle/storms/restarts.py
@@ -27,11 +27,10 @@
     """
 
     def __init__(self, rate: float, burst: int, most: int) -> None:
-        self.rate, self.burst, self.most = rate, burst, most
+        self.burst, self.most = burst, most
         self.each = round(SECOND / rate)
         self.next_at = -(1 << 62)
         self.slots: OrderedDict[str, int] = OrderedDict()
-        self.held_back = 0
 
     def comes(self, now: int, gateway: str) -> int:
         """0: go on; else nanoseconds after which to come again."""
@@ -40,14 +39,13 @@
             if now >= slot:
                 del self.slots[gateway]
                 return 0
-            self.held_back += 1
             return slot - now
         self.next_at = max(self.next_at, now - (self.burst - 1) * self.each)
-        slot, self.next_at = self.next_at, self.next_at + self.each
+        slot = min(self.next_at, now + self.most * self.each)  # names without end push it no further
+        self.next_at = slot + self.each
         if slot <= now:
             return 0
         while len(self.slots) >= self.most:
             self.slots.popitem(last=False)
         self.slots[gateway] = slot
-        self.held_back += 1
         return slot - now
--- a/peattrestle/storms/shares.py
+++ b/peattrestle/storms/shares.py
@@ -73,12 +73,12 @@
     STEP = SECOND // 4
     LEAST = 2.0  # calls a second that are never too many
     BEST_HALF = USUAL_HALF = 30 * SECOND
+    MOST_USUAL = 10_000  # gateways whose usual rate is remembered, those away too
 
     def __init__(self) -> None:
         self.demands: dict[str, Demand] = {}
         self.usual: dict[str, float] = {}  # calls a second of each gateway while none was held
-        self.shares: dict[str, float] = {}
-        self.rates: dict[str, float] = {}  # what each is told that it may offer
+        self.rates: dict[str, float] = {}  # what each is told that it may offer, while any is held
         self.stands, self.let, self.away = Faded(2 * SECOND), Faded(HALF), Faded(HALF)
         self.held = False
         self.turned_away = 0
@@ -96,7 +96,6 @@
     def gone(self, gateway: str) -> None:
         """Its connection has ended: its share is the others' at once."""
         self.demands.pop(gateway, None)
-        self.shares.pop(gateway, None)
         self.rates.pop(gateway, None)
 
     def lets(self, now: int, gateway: str, worth: float, chance: float) -> bool:
@@ -105,8 +104,7 @@
         if demand is None:
             demand = self.demands[gateway] = Demand()
         demand.add(now, worth)
-        if now >= self._look_at:
-            self.look(now)
+        self.look(now)
         if self.held and chance >= demand.chances.get(worth, 1.0):
             self.turned_away += 1
             return False
@@ -120,7 +118,9 @@
         return max(self.LEAST, self.MOST * self._best)
 
     def look(self, now: int) -> None:
-        """Takes the state and the shares anew; work by the number of gateways, four times a second."""
+        """Takes the state and the shares anew, if `STEP` has passed; work by the number of gateways."""
+        if now < self._look_at:
+            return
         self._look_at = now + self.STEP
         let = self.let.rate(now)
         share = self.away.rate(now) / max(1e-9, let)
@@ -143,35 +143,34 @@
             self._settle(offered)
 
     def _settle(self, offered: dict[str, float]) -> None:
-        self.shares = {}
+        self.rates = {}
         part = 1 - 0.5 ** (self.STEP / self.USUAL_HALF)
         for name, rate in offered.items():
             before = self.usual.get(name, rate)
             self.usual[name] = before + part * (rate - before)
             if rate <= 0.001:  # one that went silent takes no place for ever
                 del self.demands[name], self.usual[name]
+        if len(self.usual) > self.MOST_USUAL:  # of those that are away nothing is kept any more
+            self.usual = {name: self.usual[name] for name in self.demands}
 
     def _divide(self, now: int, offered: dict[str, float], total: float) -> None:
-        if not offered:
-            return
+        self.rates = {}
         known = [self.usual[name] for name in offered if name in self.usual]
         mean = max(0.1, sum(known) / len(known) if known else 0.1)
         weights = {name: max(mean / 2, self.usual.get(name, mean)) for name in offered}
         wide = max_min(offered, weights, total)
         fair = max_min(offered, weights, total * self.ALIKE / self.MOST)
         weight, sum_of_all = sum(weights.values()), sum(offered.values())
-        self.shares, self.rates = {}, {}
         for name, rate in offered.items():
             others = (sum_of_all - rate) / max(1e-9, weight - weights[name])
             alike = self.ALIKE * others * weights[name] if len(offered) > 1 else rate
-            self.shares[name] = min(wide[name], max(fair[name], alike))
-            self.demands[name].divide(now, self.shares[name])
+            share = min(wide[name], max(fair[name], alike))
+            self.demands[name].divide(now, share)
             # One that is not singled out is told its part of the whole, and not of what it sends now: told
             # the latter, it would be told less each time.
-            alone = self.shares[name] < wide[name]
-            part = 0.0 if alone else total * weights[name] / weight
-            self.rates[name] = max(self.shares[name], part)
+            part = 0.0 if share < wide[name] else total * weights[name] / weight
+            self.rates[name] = max(share, part)
 
     def notices(self) -> dict[str, float]:
         """The rate that each gateway is to offer; empty while none is held."""
-        return self.rates if self.held else {}
+        return self.rates
--- a/peattrestle/storms/watch.py
+++ b/peattrestle/storms/watch.py
@@ -67,9 +67,7 @@
         self.tries = Histogram((1, 2, 3, 5, 8), 4 * SECOND)  # which try of its caller a call was
         self.kept = Histogram((0.5, 0.9, 1.1, 2.0), 4 * SECOND)  # when callers came, in shares of the advice
         self.away = Histogram((0.1, 0.5, 2.0, 10.0), 4 * SECOND)  # seconds a gateway was gone
-        self.back = Histogram(
-            (0.5, 1.0, 2.0, 5.0), 4 * SECOND
-        )  # seconds from a gateway's last cut to a return
+        self.back = Histogram((0.5, 1.0, 2.0, 5.0), 4 * SECOND)  # seconds from a cut to a return
         self._cuts: OrderedDict[str, int] = OrderedDict()
         self.gateways = 0
         self.levels = {kind: _Level() for kind in MARKS}
@@ -129,9 +127,6 @@
         rate = (self.further if kind == RETRY else self.returned).rate(now)
         return rate / max(1e-9, self.offered(now)), rate
 
-    def on(self, *kinds: str) -> bool:
-        return any(self.levels[kind].storm is not None for kind in kinds or MARKS)
-
     def look(self, now: int) -> list[Storm]:
         """Storms that have just begun (`ended_at` 0) or ended."""
         news = []
--- a/tests/storms/test_agent.py
+++ b/tests/storms/test_agent.py
@@ -8,7 +8,7 @@
 
 from peattrestle import interface as api
 from peattrestle.h248 import package, text
-from peattrestle.h248.package import BadValue, RateNotice
+from peattrestle.h248.package import BadValue, Notice
 from peattrestle.h248.session import Session
 from peattrestle.h248.transactions import Answered, New
 from peattrestle.runtime import Coroutine
@@ -63,7 +63,7 @@
 
 def test_a_gateway_that_sends_far_too_much_is_told_a_rate_and_later_freed() -> None:
     town = Town(Limits())
-    notices: list[RateNotice] = []
+    notices: list[Notice] = []
     codes: list[tuple[int, int]] = []
 
     def listen(session: Any, stream: Any) -> Coroutine[None]:
@@ -146,5 +146,5 @@
         with pytest.raises(BadValue, match=fault):
             package.read_rate(command)
     else:
-        assert package.read_rate(command) == RateNotice(12.5, 2 * SECOND, 7)
-        assert package.rate_event(RateNotice(12.5, 2 * SECOND, 7)) == event
+        assert package.read_rate(command) == Notice(12.5, 2 * SECOND, 7)
+        assert package.rate_event(Notice(12.5, 2 * SECOND, 7)) == event
--- a/tests/storms/test_decisions.py
+++ b/tests/storms/test_decisions.py
@@ -28,10 +28,10 @@
     bins = Histogram((1, 2), SECOND)
     bins.note(0, 1)
     bins.note(0, 5)
-    assert bins.share_above(0, 1) == 0.5
+    assert bins.bins == [1, 0, 1] and bins.text(0, " s") == "<=1 s 1, more 1"
     bins.note(1000 * MS, 1)
-    assert bins.share_above(1000 * MS, 1) == pytest.approx(0.25)
-    assert bins.share_above(100_000 * MS, 1) == 0.0 or bins.bins[2] < 0.01
+    assert bins.bins == [1.5, 0, 0.5]
+    assert bins.text(100_000 * MS) == ""
 
 
 def day(seconds: list[tuple[int, int, int, int]]) -> list[tuple[str, float, bool]]:
@@ -220,6 +220,15 @@
     assert set(one.door.notices()) == {"a"}
 
 
+def test_the_usual_rates_remembered_are_bounded() -> None:
+    door = Door()
+    for number in range(12_000):
+        door.lets(number * 250 * MS, f"g{number}", 1.0, 0.5)
+        door.look((number + 1) * 250 * MS)
+        door.gone(f"g{number}")
+    assert 0 < len(door.usual) <= door.MOST_USUAL
+
+
 def test_the_gate_lets_restarts_through_at_its_rate_and_a_slot_is_kept() -> None:
     gate = Gate(rate=10, burst=2, most=100)
     waits = [gate.comes(0, f"g{number}") for number in range(50)]
@@ -236,6 +245,7 @@
     for number in range(1000):
         gate.comes(0, f"g{number}")
     assert len(gate.slots) <= 20
+    assert gate.comes(0, "one more") <= 20 * 100 * MS  # and nobody waits longer than all of them take
     assert waiting_delay(100, 50) == 2 * SECOND
 
 
