--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -1,7 +1,8 @@
 """The storm parts side by side, on the virtual kernel, the same seeds for each, with error bars.
 
-    python benchmarks/storms.py sides     [--seeds 20]   off, one fixed time, waits at the callers, ours
+    python benchmarks/storms.py sides     [--seeds 20]   ours, off (one fixed time), no advice, own waits
     python benchmarks/storms.py parts     [--seeds 20]   each part taken out alone
+    python benchmarks/storms.py guards    [--seeds 20]   what parts guard that earn nothing in the main case
     python benchmarks/storms.py quiet     [--seeds 20]   days without trouble, off and ours
     python benchmarks/storms.py seeds SCRIPT [--seeds 20]  one script with its own checks
     python benchmarks/storms.py size      [--exchanges 60]  600 calls a second for a minute
@@ -122,7 +123,7 @@
     callers.Gateway.redial = redial  # type: ignore[method-assign]
 
 
-VARIANTS = {"off": off, "fixed time": off, "no advice": no_advice, "waits at callers": at_callers} | {
+VARIANTS = {"off": off, "no advice": no_advice, "waits at callers": at_callers} | {
     f"without {name}": part for name, part in PARTS.items()
 }
 
@@ -211,7 +212,7 @@
         cells = [bar([result[row] for result in results]) for row in rows]
         pairs = zip(results, by["ours"], strict=True)
         paired = bar([mine["service"] - ours["service"] for mine, ours in pairs])
-        click.echo(f"| {one} | " + " | ".join(cells) + f" | {paired if one != 'ours' else '-'} |", nl=True)
+        click.echo(f"| {one} | " + " | ".join(cells) + f" | {paired if one != 'ours' else '-'} |")
 
 
 ROWS = [
@@ -230,7 +231,7 @@
 @click.argument("paths", nargs=-1)
 def sides(seeds: int, paths: tuple[str, ...]) -> None:
     for path in paths or ("examples/storms/restored.hcl", "examples/storms/jam.hcl"):
-        side_by_side(load(path), ["ours", "fixed time", "no advice", "waits at callers"], seeds, ROWS)
+        side_by_side(load(path), ["ours", "off", "no advice", "waits at callers"], seeds, ROWS)
 
 
 @cli.command()
--- a/peattrestle/membership/roll.py
+++ b/peattrestle/membership/roll.py
@@ -8,8 +8,8 @@
   read or is deleted: a slip of the pen must not take an exchange away, nor bring one;
 - of two that claim one number, the one created later has it, if ready; the other counts as draining;
 - a registry that loses at once more than half of the exchanges, three at least, is taken for broken, not
-  for a word that they are gone: they are kept as doubtful until the registry says the same for `DOUBT` on, has them
-  again, or says of one by itself that it drains. Draining ones are never kept;
+  for a word that they are gone: they are kept as doubtful until the registry says the same for `DOUBT` on,
+  has them again, or says of one by itself that it drains. Draining ones are never kept;
 - more than `MOST` exchanges are not taken in, and named;
 - how old the list is known to be goes with it (`vouched_at`).
 """
