--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -14,7 +14,7 @@
 from peattrestle.agent import listing, mapping
 from peattrestle.agent.asker import Asker, Askers
 from peattrestle.agent.calls import OPEN, OVER, STANDS, Call, Counts, RouteTry
-from peattrestle.agent.guard import Guard
+from peattrestle.calls.guard import Guard
 from peattrestle.agent.link import Link, Release
 from peattrestle.agent.registry import Registry
 from peattrestle.agent.storms import Storms
--- /dev/null
+++ b/peattrestle/feed/__init__.py
@@ -0,0 +1,1 @@
+"""The control feed: numbered events read and applied once, without I/O or clock."""
--- /dev/null
+++ b/peattrestle/platform/__main__.py
@@ -0,0 +1,88 @@
+"""python -m peattrestle.platform: one call agent as the platform starts it.
+
+`LB_CONFIG` names its configuration. SIGHUP reads it again, SIGTERM and SIGINT end the agent in good order.
+Exit codes: 0 ended as asked, 2 the configuration can't be used, 3 it could not listen.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import signal
+import sys
+import traceback
+from typing import Any
+
+from peattrestle.feed.sse import BadFeed
+from peattrestle.platform import config as configuration
+from peattrestle.platform.agent import Agent
+from peattrestle.platform.config import BadConfig
+from peattrestle.runtime.epoll import EpollKernel
+from peattrestle.runtime.kernel import SECOND
+
+MOST_LINES = 20  # a second; what is more is counted
+
+
+class Logger:
+    """JSON lines on standard error, bounded."""
+
+    def __init__(self, kernel: EpollKernel) -> None:
+        self.kernel = kernel
+        self.second = self.lines = self.dropped = 0
+
+    def __call__(self, level: str, text: str, **fields: Any) -> None:
+        second = self.kernel.now() // SECOND
+        if second != self.second:
+            self.second, self.lines = second, 0
+        self.lines += 1
+        if self.lines > MOST_LINES:
+            self.dropped += 1
+            return
+        if self.dropped:
+            fields["lines_dropped"], self.dropped = self.dropped, 0
+        sys.stderr.write(json.dumps({"level": level, "text": text} | fields, default=str) + "\n")
+        sys.stderr.flush()
+
+
+def main() -> int:
+    path = os.environ.get("LB_CONFIG", "")
+    try:
+        if not path:
+            raise BadConfig("LB_CONFIG names no file")
+        config = configuration.load(path)
+    except BadConfig as fault:
+        print(f"peattrestle: {fault}", file=sys.stderr)
+        return 2
+    kernel = EpollKernel(config.seed)
+    log = Logger(kernel)
+    agent = Agent(kernel, config, log, kernel.stop)
+
+    def crashed(name: str, error: BaseException) -> None:
+        where = "".join(traceback.format_tb(error.__traceback__)[-3:])
+        log("error", "a coroutine raised", name=name, error=repr(error), where=where)
+
+    def signalled(number: int) -> None:
+        if number != signal.SIGHUP:
+            agent.stop()
+            return
+        try:
+            agent.reload(configuration.load(path))
+        except (BadConfig, BadFeed) as fault:
+            log("error", "the configuration can't be used; the old one stays", fault=str(fault))
+
+    kernel.on_crash = crashed
+    kernel.on_signals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP), signalled)
+    try:
+        agent.start()
+    except OSError as fault:
+        print(f"peattrestle: {config.listen}: {fault.strerror}", file=sys.stderr)
+        return 3
+    gc.collect()
+    gc.freeze()
+    kernel.run()
+    kernel.close()
+    return 0
+
+
+raise SystemExit(main())
--- /dev/null
+++ b/peattrestle/platform/agent.py
@@ -0,0 +1,522 @@
+"""The call agent in service: callers over SIP, exchanges over JSON lines, the control feed, one `Controller`.
+
+One more front of `calls.core`: it turns what comes in on these wires into the module's events, and the
+module's actions into what goes out. docs/platform.md has the tables of both.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from peattrestle import interface as api
+from peattrestle.calls.core import OPEN, STANDS, STOOD, Call, Core, Final, RouteTry, Unsent
+from peattrestle.calls.core import REFUSED as BLOCKED
+from peattrestle.calls.guard import Guard
+from peattrestle.control import Controller
+from peattrestle.exchangeline import lines
+from peattrestle.feed.state import DRAINING, GONE, Change, Member, State
+from peattrestle.platform import mapping
+from peattrestle.platform.callers import (
+    MOST_UNREAD,
+    Asked,
+    BadSetUp,
+    Caller,
+    read_set_up,
+)
+from peattrestle.platform.config import Config
+from peattrestle.platform.follow import Follower
+from peattrestle.platform.link import Link
+from peattrestle.runtime import Coroutine, Kernel, Listener, Lost, Stream
+from peattrestle.sip import text as sip
+
+MS = 1_000_000
+ANSWER_MARGIN = 20 * MS   # before the abandon time, for what the loop and the wire take
+SETTLE = 700 * MS         # the readiness test waits no longer for the exchanges' first words
+SWEEP = 100 * MS
+UNREACHED = 5000 * MS     # calls that stand at an exchange unreachable for so long are released
+LAST_CALLS = 1000 * MS    # after SIGTERM callers' set-ups still come for a while
+MOST_CALLS = 8_000
+MOST_OWED = 2_000
+ENDED_KEPT = 8_000 * MS   # releases of calls not known here, for a set-up that tells of one later
+
+
+@dataclass(slots=True, kw_only=True)
+class Try(RouteTry):
+    link: Link
+
+
+@dataclass(slots=True, kw_only=True)
+class SipCall(Call[Try]):
+    """`caller` is None once its connection is gone. `fields` and `description` go once it is answered."""
+
+    asked: Asked
+    caller: Caller | None
+    fields: dict[str, str]
+    description: str = ""
+
+
+class Agent(Core[SipCall, Try]):
+    """`log(level, text, **fields)` takes the log lines; `ended` is called when there is nothing left to do."""
+
+    def __init__(
+        self, kernel: Kernel, config: Config, log: Callable[..., None], ended: Callable[[], None]
+    ) -> None:
+        settings = dict(config.settings)
+        settings["step"] = max(settings.get("step", 0), ANSWER_MARGIN)
+        get = settings.get
+        guard = Guard(
+            get("drain_grace", 0),
+            get("release_time", 0),
+            get("fall_time", 0),
+            get("fall_multiple", 1.0),
+            get("cold_time", 0),
+        )
+        super().__init__(kernel, Controller(config.seed, settings), guard, log, ANSWER_MARGIN)
+        self.config, self.ended = config, ended
+        self.own_number: int = settings["own_number"]
+        self.come_back_limit: int = get("come_back_limit", 0)
+        self.holding = max(settings[f"holding:{one}"] for one in config.bearer_types)
+        self.dial_timeout: int = get("dial_timeout", 500 * MS)
+        self.most_callers = config.sockets * 2 // 3
+        self.tags: dict[str, SipCall] = {}
+        self.standing: dict[str, dict[str, SipCall]] = {}
+        self.members: dict[str, Member] = {}
+        self.links: dict[str, Link] = {}
+        self.sizes: dict[str, float] = {}
+        self.callers: OrderedDict[Caller, None] = OrderedDict()
+        self.latest: Caller | None = None
+        self.owed_releases: deque[tuple[int, bytes]] = deque()
+        self.owed_finishes: dict[str, deque[bytes]] = {}
+        self.ended_at: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self.ready = False
+        self.stopping_at = 0
+        self.state = State()
+        self.listener: Listener | None = None
+        self.follower: Follower | None = None
+
+    # Start, new configuration, stop.
+
+    def start(self) -> None:
+        """Raises OSError where it can't listen."""
+        self.listener = self.kernel.listen(self.config.listen)
+        for change in self.state.known(self.config.known):
+            self.told(change)
+        self.follower = Follower(self.kernel, self.state, self.config.feed, self.told, self.log)
+        self.kernel.spawn(self.accept(self.listener), "callers")
+        self.kernel.spawn(self.settle(), "settle")
+        self.kernel.spawn(self.sweep(), "sweep")
+
+    def settle(self) -> Coroutine[None]:
+        until = self.kernel.now() + SETTLE
+        while self.kernel.now() < until and not all(one.spoke for one in self.links.values()):
+            yield from self.kernel.sleep(5 * MS)
+        self.ready = True
+        up = sum(one.up for one in self.links.values())
+        self.log("info", "ready", listen=self.config.listen, exchanges=len(self.links), up=up)
+
+    def reload(self, config: Config) -> None:
+        """A new configuration: the feed may be elsewhere; calls and numbers go on."""
+        for change in self.state.known(config.known):
+            self.told(change)
+        if self.follower is not None:
+            self.follower.move(config.feed)
+        self.log("info", "configuration read again", feed=config.feed)
+
+    def stop(self) -> None:
+        """No test passes any more; ends when callers have stopped coming and no call awaits its answer."""
+        if not self.stopping_at:
+            self.stopping_at = self.kernel.now()
+            self.log("info", "stopping", calls=len(self.calls))
+            self.kernel.spawn(self.finish_up(), "stop")
+
+    def finish_up(self) -> Coroutine[None]:
+        yield from self.kernel.sleep(LAST_CALLS)
+        closed = False
+        while True:
+            if not any(one.state == OPEN for one in self.calls.values()):
+                if closed:
+                    break
+                closed = True
+                if self.listener is not None:
+                    self.listener.close()
+            yield from self.kernel.sleep(10 * MS)
+        self.log("info", "ended", **self.counts.values)
+        self.ended()
+
+    # The list.
+
+    def told(self, change: Change) -> None:
+        now, wall = self.kernel.now(), self.kernel.wall() // MS
+        rows = list(change.members)
+        if change.whole:
+            present = {one.exchange for one in rows}
+            for name, old in self.members.items():
+                if name not in present:
+                    rows.append(Member(name, old.number, GONE, old.address, old.zone, 0))
+        entries = []
+        for one in rows:
+            started = max(1, now - (wall - one.born_ms) * MS) if one.born_ms else 0
+            state = "ready" if one.state not in (DRAINING, GONE) else one.state
+            entries.append(api.Entry(one.exchange, one.number, state, started, one.zone))
+            self.guard.told(now, one.exchange, state, started)
+            before = self.members.get(one.exchange)
+            if one.state == GONE:
+                self.members.pop(one.exchange, None)
+                self.sizes.pop(one.exchange, None)
+                self.retire(one.exchange)
+                continue
+            self.members[one.exchange] = one
+            if before is not None and one.born_ms > before.born_ms:
+                self.started_anew(one.exchange, started)
+            if one.number != self.own_number:
+                self.link_to(one)
+        self.post(api.Listed("full" if change.whole else "delta", tuple(entries)))
+
+    def link_to(self, member: Member) -> None:
+        for name, other in self.links.items():
+            if name != member.exchange and other.address == member.address:
+                self.retire(name)  # the address is another's now
+        link = self.links.get(member.exchange)
+        if link is None:
+            self.links[member.exchange] = Link(
+                self.kernel, self, member.exchange, member.address, self.dial_timeout
+            )
+        else:
+            link.address = member.address
+
+    def retire(self, exchange: str) -> None:
+        """Its link is made no more; it stays while calls are out or stand there."""
+        link = self.links.get(exchange)
+        if link is not None:
+            link.retired = True
+            if not link.up:
+                self.lose_all(exchange)
+
+    def started_anew(self, exchange: str, started_at: int) -> None:
+        """What stood there before the start is gone."""
+        for call in list(self.standing.get(exchange, {}).values()):
+            if call.standing is not None and call.standing.sent_at < started_at:
+                self.over(call, lines.RESET)
+
+    def lose_all(self, exchange: str) -> None:
+        for call in list(self.standing.get(exchange, {}).values()):
+            self.over(call, lines.RESET)
+
+    # Callers.
+
+    def accept(self, listener: Listener) -> Coroutine[None]:
+        while True:
+            try:
+                stream = yield from listener.accept()
+            except Lost:
+                return
+            if len(self.callers) >= self.most_callers and not self.close_idle():
+                self.counts.add("connections_shed")
+                stream.close()
+                continue
+            caller = Caller(stream, self.kernel.now())
+            self.callers[caller] = None
+            self.kernel.spawn(self.serve(caller), "caller")
+
+    def close_idle(self) -> bool:
+        """Closes the connection longest without a word on which no call awaits its answer."""
+        for caller in self.callers:
+            if not caller.open:
+                self.counts.add("connections_closed")
+                self.gone(caller)
+                caller.stream.close()
+                return True
+        return False
+
+    def serve(self, caller: Caller) -> Coroutine[None]:
+        stream, reader = caller.stream, caller.reader
+        try:
+            while data := (yield from stream.read(16_384)):
+                reader.feed(data)
+                while (message := reader.next()) is not None:
+                    caller.spoken = True
+                    self.heard(caller, message)
+                if not reader.partial:
+                    caller.unfinished_at = 0
+                elif not caller.unfinished_at:
+                    caller.unfinished_at = self.kernel.now()
+                if caller in self.callers:
+                    self.callers.move_to_end(caller)
+                if stream.unsent > MOST_UNREAD:
+                    stream.abort()
+                    break
+                if len(data) == 16_384:
+                    yield from self.kernel.sleep(0)  # one that sends without end leaves others their turn
+        except Lost:
+            pass
+        except sip.BadMessage as fault:
+            self.counts.add("bad_messages")
+            stream.write(sip.answer(fault.status, {}))
+        finally:
+            self.gone(caller)
+            stream.close()
+
+    def gone(self, caller: Caller) -> None:
+        self.callers.pop(caller, None)
+        if self.latest is caller:
+            self.latest = None
+        for call in list(caller.open.values()):
+            self.counts.add("left")
+            self.caller_left(call)
+
+    def heard(self, caller: Caller, message: sip.Message) -> None:
+        match message.method:
+            case "INVITE":
+                self.asked(caller, message)
+            case "BYE":
+                call = self.tags.get(message.call_id)
+                caller.stream.write(sip.answer(481 if call is None else 200, message.fields))
+                if call is not None:
+                    self.counts.add("released")
+                    self.finish(call)
+            case "CANCEL":
+                call = self.tags.get(message.call_id)
+                caller.stream.write(sip.answer(481 if call is None else 200, message.fields))
+                if call is not None and call.state == OPEN and call.caller is not None:
+                    self.counts.add("left")
+                    call.caller.stream.write(sip.answer(487, call.fields))
+                    self.caller_left(call)
+            case "OPTIONS":
+                passed = self.ready and not self.stopping_at
+                caller.stream.write(sip.answer(200 if passed else 503, message.fields))
+            case "ACK" | "NOTIFY" | "":
+                pass
+            case _:
+                caller.stream.write(sip.answer(501, message.fields))
+
+    def asked(self, caller: Caller, message: sip.Message) -> None:
+        now = self.kernel.now()
+        try:
+            asked = read_set_up(message, self.config.bearer_types)
+        except BadSetUp:
+            self.counts.add("bad_set_ups")
+            caller.stream.write(sip.answer(400, message.fields))
+            return
+        if asked.at:
+            self.stands_already(caller, asked, now)
+            return
+        if asked.tag in self.tags:
+            self.counts.add("bad_set_ups")
+            caller.stream.write(sip.answer(482, message.fields))
+            return
+        caller.asked, self.latest = True, caller
+        self.pay(caller)
+        if len(self.calls) >= MOST_CALLS:
+            self.counts.add("refused_at_bound")
+            pause = self.come_back_limit // MS
+            caller.stream.write(sip.answer(mapping.REFUSED, message.fields, pause_ms=pause))
+            return
+        self.counts.add("transit_taken" if asked.transit else "taken")
+        call = SipCall(
+            self.next_id(),
+            now,
+            now + asked.patience,
+            asked=asked,
+            caller=caller,
+            fields=message.fields,
+        )
+        self.tags[asked.tag] = caller.open[asked.tag] = call
+        self.take(
+            call,
+            api.CallArrived(
+                call.id,
+                asked.bearer_type,
+                call.abandon_at,
+                asked.destination,
+                asked.number,
+                asked.width,
+                asked.via,
+                asked.transit,
+                asked.again,
+            ),
+        )
+
+    def stands_already(self, caller: Caller, asked: Asked, now: int) -> None:
+        """A call that stands since before this agent started: only its release is to be passed on."""
+        if asked.tag in self.tags:
+            return
+        caller.asked, self.latest = True, caller
+        self.counts.add("taken_over")
+        call = SipCall(self.next_id(), now, now, state=STANDS, asked=asked, caller=caller, fields={})
+        link = self.links.get(asked.at)
+        if link is None or self.ended_at.pop((asked.at, asked.tag), 0):
+            self.send_release(call, lines.RESET if link is None else lines.NORMAL)
+            return
+        call.standing = Try(call, 0, asked.at, now, "stands", link=link)
+        self.calls[call.id] = self.tags[asked.tag] = call
+        self.standing.setdefault(asked.at, {})[asked.tag] = call
+
+    def over(self, call: SipCall, cause: int) -> None:
+        """A standing call has come to its end beyond us: its caller is told."""
+        self.counts.add("ended" if cause == lines.NORMAL else "cut")
+        if call.standing is not None:
+            self.end_try(call.standing, tell=False)
+        self.send_release(call, cause)
+        self.forget(call)
+
+    def send_release(self, call: SipCall, cause: int) -> None:
+        """On its own connection, else on another caller's, else on the next one that speaks."""
+        data = sip.bye(call.asked.tag, call.asked.number, self.config.name, cause)
+        caller = call.caller if call.caller in self.callers else self.latest
+        if caller is not None:
+            caller.stream.write(data)
+            return
+        if len(self.owed_releases) >= MOST_OWED:
+            self.owed_releases.popleft()
+        self.owed_releases.append((self.kernel.now(), data))
+
+    def pay(self, caller: Caller) -> None:
+        while self.owed_releases:
+            caller.stream.write(self.owed_releases.popleft()[1])
+
+    # What the core asks of a front.
+
+    def launch(self, call: SipCall, action: api.SetUp, number: int) -> Try | Unsent:
+        link = self.links.get(action.exchange)
+        if link is None or not link.up:
+            return Unsent()
+        asked = call.asked
+        one = Try(call, number, action.exchange, self.kernel.now(), link=link)
+        left = max(1, action.patience // MS)
+        link.send(lines.set_up(asked.tag, asked.bearer_type, asked.number, left, asked.description))
+        link.tries[asked.tag] = one
+        return one
+
+    def end_launched(self, one: Try, tell: bool) -> None:
+        tag, link = one.call.asked.tag, one.link
+        if one.state == "out":
+            if link.tries.get(tag) is one:
+                del link.tries[tag]
+                if tell:
+                    link.send(lines.release(tag, lines.NORMAL))
+            return
+        there = self.standing.get(one.exchange, {})
+        if there.pop(tag, None) is not None and not there:
+            del self.standing[one.exchange]
+        if tell and not link.send(lines.release(tag, lines.NORMAL)) and not link.retired:
+            owed = self.owed_finishes.setdefault(one.exchange, deque(maxlen=MOST_OWED))
+            owed.append(lines.release(tag, lines.NORMAL))
+
+    def reply(self, call: SipCall, final: Final) -> None:
+        self.counts.add(("transit_" if call.asked.transit else "") + final.kind)
+        caller = call.caller
+        if caller is None:
+            return
+        if final.kind == STOOD:
+            data = sip.answer(mapping.STOOD, call.fields, call.description.encode())
+        elif final.kind == BLOCKED:
+            data = sip.answer(mapping.REFUSED, call.fields, pause_ms=-(-final.come_back // MS))
+        else:
+            data = sip.answer(mapping.OWN_FAULT if final.own_fault else mapping.FAILED, call.fields)
+        caller.stream.write(data)
+        caller.open.pop(call.asked.tag, None)
+        call.fields, call.description = {}, ""
+
+    def misanswered(self, call: SipCall) -> bool:
+        """Too late for any answer: its time is up, and nothing more is sent."""
+        return call.state != "over"
+
+    def dropped(self, call: SipCall) -> None:
+        tag = call.asked.tag
+        if self.tags.get(tag) is call:
+            del self.tags[tag]
+        if call.caller is not None:
+            call.caller.open.pop(tag, None)
+        call.standing = call.out = call.caller = None  # no cycles are left behind
+
+    def named(self, call: SipCall) -> str:
+        return call.asked.tag
+
+    # Exchanges.
+
+    def link_up(self, link: Link) -> None:
+        for data in self.owed_finishes.pop(link.exchange, ()):
+            link.send(data)
+
+    def link_lost(self, link: Link, why: str) -> None:
+        self.log("warning", "connection lost", exchange=link.exchange, why=why, route_tries=len(link.tries))
+        self.counts.add("connections_lost")
+        for one in list(link.tries.values()):
+            self.try_over(one, "reset", tell=False, cut_off=True)
+        if link.retired:
+            self.lose_all(link.exchange)
+
+    def link_refused(self, link: Link) -> None:
+        """Nothing listens there: the process is gone, and with it the calls that stood."""
+        self.lose_all(link.exchange)
+
+    def link_heard(self, link: Link, line: lines.Line) -> None:
+        verb = line.verb
+        load = mapping.load(line.opts["load"]) if "load" in line.opts else {}
+        if load:
+            size = load.get("size", self.sizes.get(link.exchange, 0.0))
+            if size != self.sizes.get(link.exchange) and link.exchange in self.members:
+                self.sizes[link.exchange] = size
+                self.guard.carried = sum(self.sizes.values()) / self.holding
+        if verb == "STARTED":
+            one = link.tries.get(line.tag)
+            if one is None:
+                self.counts.add("stray_answers")
+            elif not line.blob:
+                self.counts.add("spoilt_answers")
+                self.try_over(one, "reset", tell=True, cut_off=True)
+            else:
+                del link.tries[line.tag]
+                one.call.description = line.blob
+                self.standing.setdefault(link.exchange, {})[line.tag] = one.call
+                self.stands(one, load)
+                return
+        elif verb == "FINISH":
+            one = link.tries.get(line.tag)
+            if one is not None:
+                if not isinstance(line.rc, int):
+                    raise lines.BadLine("a release without a cause")
+                result = mapping.RESULTS.get(line.rc, "reset")
+                cause = mapping.CAUSES.get(str(line.opts.get("note", "")), "")
+                self.try_over(one, result, tell=False, cut_off=result == "reset", cause=cause, load=load)
+                return
+            self.ended_there(link, line)
+        elif verb == "ECHO":
+            link.send(lines.test_passed(line.tag))
+        if load:
+            self.post(api.Reported(link.exchange, "served", 0, load))
+
+    def ended_there(self, link: Link, line: lines.Line) -> None:
+        call = self.standing.get(link.exchange, {}).get(line.tag)
+        if call is not None:
+            self.over(call, lines.NORMAL if line.rc == lines.NORMAL else lines.RESET)
+            return
+        self.ended_at[link.exchange, line.tag] = self.kernel.now()
+        if len(self.ended_at) > MOST_OWED:
+            self.ended_at.popitem(last=False)
+
+    # What time alone brings.
+
+    def sweep(self) -> Coroutine[None]:
+        while True:
+            yield from self.kernel.sleep(SWEEP)
+            now = self.kernel.now()
+            for caller in [one for one in self.callers if one.late(now)]:
+                self.counts.add("late_callers")
+                caller.stream.write(sip.answer(408, {}))
+                self.gone(caller)
+                caller.stream.close()
+            for name, link in list(self.links.items()):
+                if link.retired and not link.tries and name not in self.standing:
+                    link.close()
+                    del self.links[name]
+                    self.owed_finishes.pop(name, None)
+                    self.guard.exchanges.pop(name, None)
+                elif not link.up and now - link.lost_at > UNREACHED:
+                    self.lose_all(name)
+            while self.owed_releases and self.owed_releases[0][0] < now - ENDED_KEPT:
+                self.owed_releases.popleft()
+            while self.ended_at and next(iter(self.ended_at.values())) < now - ENDED_KEPT:
+                self.ended_at.popitem(last=False)
--- /dev/null
+++ b/peattrestle/platform/link.py
@@ -0,0 +1,122 @@
+"""The connection to one exchange: made, tested where it is silent, made again after growing, drawn waits.
+
+What a connection tells is the owner's to use; this keeps only whether there is one, and whether it speaks.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from peattrestle.calls.core import RouteTry
+from peattrestle.exchangeline import lines
+from peattrestle.runtime import Coroutine, Kernel, Lost, Refused, Stream
+
+MS = 1_000_000
+RETRY_LEAST, RETRY_MOST = 40 * MS, 500 * MS
+LOOK = 250 * MS      # how often a connection is looked at
+QUIET = 1000 * MS    # heard nothing for so long: it is tested
+SILENT = 1000 * MS   # nothing for so long after a test: it is given up
+MOST_UNREAD = 262_144
+
+
+class Owner(Protocol):
+    """What a link tells the agent."""
+
+    def link_up(self, link: Link) -> None: ...
+    def link_lost(self, link: Link, why: str) -> None: ...
+    def link_refused(self, link: Link) -> None: ...
+    def link_heard(self, link: Link, line: lines.Line) -> None: ...
+
+
+class Link:
+    """`tries`: the set-ups out on it, by the call's id on the wire. `address` is where it is made next."""
+
+    def __init__(self, kernel: Kernel, owner: Owner, exchange: str, address: str, dial_timeout: int) -> None:
+        self.kernel, self.owner, self.exchange, self.address = kernel, owner, exchange, address
+        self.dial_timeout = dial_timeout
+        self.stream: Stream | None = None
+        self.tried = self.spoke = self.closing = self.retired = False
+        self.tries: dict[str, RouteTry] = {}
+        self.heard_at = self.asked_at = self.lost_at = 0
+        self.draw = kernel.chance(f"link/{exchange}")
+        self.task = kernel.spawn(self.run(), f"link {exchange}")
+
+    @property
+    def up(self) -> bool:
+        return self.stream is not None
+
+    def run(self) -> Coroutine[None]:
+        wait = RETRY_LEAST
+        self.lost_at = self.kernel.now()
+        while not self.closing:
+            began = self.kernel.now()
+            try:
+                stream = yield from self.kernel.connect(self.address, self.dial_timeout)
+            except (Refused, ValueError) as fault:
+                self.tried = True
+                if "ECONNREFUSED" in str(fault):
+                    self.owner.link_refused(self)
+            else:
+                why = yield from self.converse(stream)
+                stream.abort()
+                self.stream = None
+                if self.kernel.now() - began > RETRY_MOST:
+                    wait = RETRY_LEAST
+                self.lost_at = self.kernel.now()
+                self.owner.link_lost(self, why)
+            if self.closing or self.retired:
+                return
+            yield from self.kernel.sleep(round(wait * (1 + self.draw.random()) / 2))
+            wait = min(2 * wait, RETRY_MOST)
+
+    def converse(self, stream: Stream) -> Coroutine[str]:
+        self.stream, self.tried, self.spoke = stream, True, False
+        self.heard_at, self.asked_at = self.kernel.now(), 0
+        reader = lines.Reader()
+        keeper = self.kernel.spawn(self.keep(stream), f"keeper {self.exchange}")
+        self.owner.link_up(self)
+        try:
+            while True:
+                data = yield from stream.read()
+                if not data:
+                    return "the exchange closed the connection"
+                self.heard_at, self.asked_at = self.kernel.now(), 0
+                reader.feed(data)
+                while (line := reader.next()) is not None:
+                    self.spoke = True
+                    self.owner.link_heard(self, line)
+                if stream.unsent > MOST_UNREAD:
+                    return f"it left {stream.unsent} bytes unread"
+                if len(data) == 65536:
+                    yield from self.kernel.sleep(0)  # one that sends without end leaves others their turn
+        except Lost as fault:
+            return str(fault)
+        except lines.BadLine as fault:
+            return f"bad line: {fault}"
+        finally:
+            keeper.cancel()
+
+    def keep(self, stream: Stream) -> Coroutine[None]:
+        """A machine that vanished gives no sign: one that is quiet is tested, a silent one given up."""
+        while True:
+            yield from self.kernel.sleep(LOOK)
+            now = self.kernel.now()
+            if self.asked_at and now - self.asked_at >= SILENT:
+                stream.abort()
+                return
+            if not self.asked_at and now - self.heard_at >= QUIET:
+                self.asked_at = now
+                stream.write(lines.test(f"{now & 0xFFFFFFFFFFFFFFFF:016x}", False))
+
+    def send(self, data: bytes) -> bool:
+        if self.stream is None:
+            return False
+        self.stream.write(data)
+        return True
+
+    def close(self) -> None:
+        self.closing = True
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
+        self.task.cancel()
--- a/peattrestle/wirehost/parse.py
+++ b/peattrestle/wirehost/parse.py
@@ -69,6 +69,11 @@
         raise Malformed(f"BootInfo is not JSON: {fault}") from None
     if not isinstance(tree, dict):
         raise Malformed("BootInfo is not a JSON object")
+    return settings_of(tree)
+
+
+def settings_of(tree: dict[str, Any]) -> tuple[dict[str, Any], tuple[str, ...]]:
+    """The same from settings that are read already, as the platform's configuration has them."""
 
     def at(path: str) -> Any:
         spot: Any = tree
--- a/peattrestle/wirehost/words.py
+++ b/peattrestle/wirehost/words.py
@@ -19,6 +19,7 @@
     "FamilyInfo.Advice": "advice",
     "FamilyInfo.RemoteLoad": "far_reports",
     "Caps.AttemptsCap": "route_try_limit",
+    "Caps.DialTimeoutUs": "dial_timeout",
     "Caps.MaxRetryAfterUs": "come_back_limit",
     "Caps.RetryAfter": "come_back",
     "Caps.Probing": "probes",
@@ -66,6 +67,15 @@
     "svc_ms": "wait_ms",
     "hold_back": "hold_back",
     "busy_reqs": "in_work",
+    # The same where the simulator's own words are used, as on the platform's sockets.
+    "x0": "free",
+    "x1": "size",
+    "queue": "queue",
+    "qps": "rate",
+    "util": "busy",
+    "latency_ms": "wait_ms",
+    "eps": "hold_back",
+    "inflight": "in_work",
 }
 RESULTS = {
     "served": "served",
--- a/tests/agent/test_guard.py
+++ b/tests/agent/test_guard.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from peattrestle.agent.guard import Guard
+from peattrestle.calls.guard import Guard
 
 MS = 1_000_000
 
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -9,7 +9,7 @@
 
 from peattrestle import interface as api
 from peattrestle.agent.agent import CallAgent
-from peattrestle.agent.guard import Guard
+from peattrestle.calls.guard import Guard
 from peattrestle.control import Controller
 from peattrestle.h248 import package
 from peattrestle.rehearsal.judge import Judge, Limits
