A release with an error is no sign of life of an exchange

Checked: releases on another connection (none were sent), connections closed as idle (not the call's). What the connection heard, printed: after 8.88 s nothing but releases with cause 47, for set-ups of bad callers that nobody could use; each made the connection pass for alive (link.py, heard_at set by any bytes). Change: only a line that is no error is a sign of life; a new connection is none either until the exchange has spoken on it, and gets no set-up before. Calls standing without a sign of life for 6 s are released. At the bound of connections those that never spoke are closed first, and a release goes to another connection only where a call has stood on it. A test shows errors that go on; it fails with any line taken for life.

--- a/peattrestle/exchangeline/lines.py
+++ b/peattrestle/exchangeline/lines.py
@@ -18,6 +18,8 @@
     102,
 )  # Q.850 causes; 102: recovery on timer
 
+ERRORS = (BUSY, OUT_OF_ORDER)
+
 
 class BadLine(Exception):
     """A line is not as published; what follows it on that connection can't be trusted either."""
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -35,8 +35,9 @@
 ANSWER_MARGIN = 20 * MS  # before the abandon time, for what the loop and the wire take
 SETTLE = 700 * MS  # the readiness test waits no longer for the exchanges' first words
 SWEEP = 100 * MS
-UNREACHED = 5000 * MS  # calls that stand at an exchange unreachable for so long are released
+UNREACHED = 6000 * MS  # calls that stand at an exchange without a sign of life for so long are released
 LAST_CALLS = 1000 * MS  # after SIGTERM callers' set-ups still come for a while
+JUST_COME = 250 * MS
 MOST_CALLS = 8_000
 MOST_OWED = 2_000
 ENDED_KEPT = 8_000 * MS  # releases of calls not known here, for a set-up that tells of one later
@@ -221,14 +222,18 @@
             self.kernel.spawn(self.serve(caller), "caller")
 
     def close_idle(self) -> bool:
-        """Closes the connection longest without a word on which no call awaits its answer."""
-        for caller in self.callers:
-            if not caller.open:
-                self.counts.add("connections_closed")
-                self.gone(caller)
-                caller.stream.close()
-                return True
-        return False
+        """Closes the connection longest without a word on which no call awaits its answer: first one that
+        never spoke, unless it has only just come."""
+        new = self.kernel.now() - JUST_COME
+        idle = [caller for caller in self.callers if not caller.open]
+        unspoken = (caller for caller in idle if not caller.spoken and caller.came_at < new)
+        caller = next(unspoken, idle[0] if idle else None)
+        if caller is None:
+            return False
+        self.counts.add("connections_closed")
+        self.gone(caller)
+        caller.stream.close()
+        return True
 
     def serve(self, caller: Caller) -> Coroutine[None]:
         stream, reader = caller.stream, caller.reader
@@ -306,8 +311,6 @@
             self.counts.add("bad_set_ups")
             caller.stream.write(sip.answer(482, message.fields))
             return
-        caller.asked, self.latest = True, caller
-        self.pay(caller)
         if len(self.calls) >= MOST_CALLS:
             self.counts.add("refused_at_bound")
             pause = self.come_back_limit // MS
@@ -342,7 +345,6 @@
         """A call that stands since before this agent started: only its release is to be passed on."""
         if asked.tag in self.tags:
             return
-        caller.asked, self.latest = True, caller
         self.counts.add("taken_over")
         call = SipCall(self.next_id(), now, now, state=STANDS, asked=asked, caller=caller, fields={})
         link = self.links.get(asked.at)
@@ -362,7 +364,8 @@
         self.forget(call)
 
     def send_release(self, call: SipCall, cause: int) -> None:
-        """On its own connection, else on another caller's, else on the next one that speaks."""
+        """On its own connection, else on the last one on which a call stood, else on the next such one: who
+        only sends what can't be used is no way to the callers."""
         data = sip.bye(call.asked.tag, call.asked.number, self.config.name, cause)
         caller = call.caller if call.caller in self.callers else self.latest
         if caller is not None:
@@ -417,6 +420,9 @@
             data = sip.answer(mapping.OWN_FAULT if final.own_fault else mapping.FAILED, call.fields)
         caller.stream.write(data)
         caller.open.pop(call.asked.tag, None)
+        if final.kind == STOOD and caller in self.callers:
+            self.latest = caller
+            self.pay(caller)
         call.fields, call.description = {}, ""
 
     def misanswered(self, call: SipCall) -> bool:
@@ -514,7 +520,7 @@
                     del self.links[name]
                     self.owed_finishes.pop(name, None)
                     self.guard.exchanges.pop(name, None)
-                elif not link.up and now - link.lost_at > UNREACHED:
+                elif now - link.alive_at > UNREACHED:
                     self.lose_all(name)
             while self.owed_releases and self.owed_releases[0][0] < now - ENDED_KEPT:
                 self.owed_releases.popleft()
--- a/peattrestle/platform/callers.py
+++ b/peattrestle/platform/callers.py
@@ -35,13 +35,13 @@
 class Caller:
     """One connection; `open` are the calls on it that await their answer."""
 
-    __slots__ = ("stream", "reader", "open", "came_at", "unfinished_at", "spoken", "asked")
+    __slots__ = ("stream", "reader", "open", "came_at", "unfinished_at", "spoken")
 
     def __init__(self, stream: Stream, now: int) -> None:
         self.stream, self.reader = stream, sip.Reader()
         self.open: dict[str, SipCall] = {}
         self.came_at, self.unfinished_at = now, 0
-        self.spoken = self.asked = False  # a whole message; a set-up that could be used
+        self.spoken = False  # a whole message has come
 
     def late(self, now: int) -> bool:
         """It owes the rest of a message, or a first one, for too long."""
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -1,6 +1,8 @@
 """The connection to one exchange: made, tested where it is silent, made again after growing, drawn waits.
 
-What a connection tells is the owner's to use; this keeps only whether there is one, and whether it speaks.
+What a connection tells is the owner's to use; this keeps only whether there is one, and whether the exchange
+speaks on it. A release with an error is no sign of life: whatever stands before a vanished machine goes on
+answering so to set-ups that nobody could use.
 """
 
 from __future__ import annotations
@@ -16,8 +18,8 @@
 MS = 1_000_000
 RETRY_LEAST, RETRY_MOST = 40 * MS, 500 * MS
 LOOK = 250 * MS  # how often a connection is looked at
-QUIET = 1000 * MS  # heard nothing for so long: it is tested
-SILENT = 1000 * MS  # nothing for so long after a test: it is given up
+QUIET = 1000 * MS  # no sign of life for so long: it is tested
+SILENT = 1000 * MS  # none for so long after a test: it is given up
 MOST_UNREAD = 262_144
 
 
@@ -39,17 +41,18 @@
         self.stream: Stream | None = None
         self.tried = self.spoke = self.closing = self.retired = False
         self.tries: dict[str, Try] = {}
-        self.heard_at = self.asked_at = self.lost_at = 0
+        self.alive_at = self.asked_at = 0
         self.draw = kernel.chance(f"link/{exchange}")
         self.task = kernel.spawn(self.run(), f"link {exchange}")
 
     @property
     def up(self) -> bool:
-        return self.stream is not None
+        """There is a connection, and the exchange has spoken on it: its report comes first on each."""
+        return self.stream is not None and self.spoke
 
     def run(self) -> Coroutine[None]:
         wait = RETRY_LEAST
-        self.lost_at = self.kernel.now()
+        self.alive_at = self.kernel.now()
         while not self.closing:
             began = self.kernel.now()
             try:
@@ -64,7 +67,6 @@
                 self.stream = None
                 if self.kernel.now() - began > RETRY_MOST:
                     wait = RETRY_LEAST
-                self.lost_at = self.kernel.now()
                 self.owner.link_lost(self, why)
             if self.closing or self.retired:
                 return
@@ -73,7 +75,7 @@
 
     def converse(self, stream: Stream) -> Coroutine[str]:
         self.stream, self.tried, self.spoke = stream, True, False
-        self.heard_at, self.asked_at = self.kernel.now(), 0
+        self.asked_at = 0
         reader = lines.Reader()
         keeper = self.kernel.spawn(self.keep(stream), f"keeper {self.exchange}")
         self.owner.link_up(self)
@@ -82,10 +84,10 @@
                 data = yield from stream.read()
                 if not data:
                     return "the exchange closed the connection"
-                self.heard_at, self.asked_at = self.kernel.now(), 0
                 reader.feed(data)
                 while (line := reader.next()) is not None:
-                    self.spoke = True
+                    if line.verb != "FINISH" or line.rc not in lines.ERRORS:
+                        self.spoke, self.alive_at, self.asked_at = True, self.kernel.now(), 0
                     self.owner.link_heard(self, line)
                 if stream.unsent > MOST_UNREAD:
                     return f"it left {stream.unsent} bytes unread"
@@ -106,7 +108,7 @@
             if self.asked_at and now - self.asked_at >= SILENT:
                 stream.abort()
                 return
-            if not self.asked_at and now - self.heard_at >= QUIET:
+            if not self.asked_at and now - self.alive_at >= QUIET:
                 self.asked_at = now
                 stream.write(lines.test(f"{now & 0xFFFFFFFFFFFFFFFF:016x}", False))
 
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -450,15 +450,29 @@
     town.at_rest()
 
 
-def test_an_exchange_cut_off_is_found_silent_and_its_calls_released_in_time() -> None:
+@pytest.mark.parametrize("errors_go_on", [False, True])
+def test_an_exchange_cut_off_is_found_silent_and_its_calls_released_in_time(errors_go_on: bool) -> None:
     town = Town()
     caller = town.caller(invite())
-    town.kernel.network.cut = lambda source, address: "127.0.1.1:3868" in (source, address)
-    town.pass_time(3000)
+    exchange = town.exchanges[1]
+    if errors_go_on:  # seen on the platform: set-ups of bad callers get errors while the machine is away
+        exchange.silent = True
+        for ms in range(0, 8000, 300):
+            town.kernel.at(
+                town.kernel.now() + ms * MS,
+                lambda: exchange.say(exchange.streams[-1], verb="FINISH", tag="00000000000000bb", rc=47),
+            )
+    else:
+        town.kernel.network.cut = lambda source, address: "127.0.1.1:3868" in (source, address)
+    town.pass_time(2700)
+    if errors_go_on:
+        assert len(exchange.streams) == 2  # the first was given up
+    town.pass_time(300)
     assert not town.agent.links["s1"].up and caller.released() == []
     town.pass_time(5000)
     assert caller.released() == ["Q.850;cause=41"]
     town.kernel.network.cut = lambda source, address: False
+    exchange.silent = False
     town.pass_time(1500)
     assert town.agent.links["s1"].up
     town.at_rest()
