A connection gone silent is found by its usual gap, and the exchange not blamed for it

Checked: answers printed with the module's window and what was out. Each time a connection had gone silent while its exchange was well (a new one spoke within 40 ms); it was given up after 2 s; meanwhile tries filled the window and timed out, and in the 40 ms without a connection set-ups were told 'not connected', which shuts the window to a twentieth: 2 s more until it was open again. Change: link.py measures the usual gap between signs of life and tests after ten of it (100 ms to 1 s before: 1 s), gives up 300 ms later (before: 1 s), dials at once, and set-ups of that moment wait for the connection; only where none can be made they end as not connected.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -383,12 +383,16 @@
 
     def launch(self, call: SipCall, action: api.SetUp, number: int) -> Try | Unsent:
         link = self.links.get(action.exchange)
-        if link is None or not link.up:
+        if link is None or not link.up and not link.coming:
             return Unsent()
         asked = call.asked
         one = Try(call, number, action.exchange, self.kernel.now(), link=link)
         left = max(1, action.patience // MS)
-        link.send(lines.set_up(asked.tag, asked.bearer_type, asked.number, left, asked.description))
+        data = lines.set_up(asked.tag, asked.bearer_type, asked.number, left, asked.description)
+        if link.up:
+            link.send(data)
+        else:
+            link.waiting[asked.tag] = data
         link.tries[asked.tag] = one
         return one
 
@@ -397,7 +401,7 @@
         if one.state == "out":
             if link.tries.get(tag) is one:
                 del link.tries[tag]
-                if tell:
+                if link.waiting.pop(tag, None) is None and tell:
                     link.send(lines.release(tag, lines.NORMAL))
             return
         there = self.standing.get(one.exchange, {})
@@ -443,20 +447,35 @@
     # Exchanges.
 
     def link_up(self, link: Link) -> None:
+        waiting, link.waiting = link.waiting, {}
+        member = self.members.get(link.exchange)
+        for tag, data in waiting.items():
+            if member is None or member.state != "ready":  # it has begun to leave while they waited
+                self.try_over(link.tries[tag], "connect_failed", tell=False, cut_off=False)
+            else:
+                link.send(data)
         for data in self.owed_finishes.pop(link.exchange, ()):
             link.send(data)
 
     def link_lost(self, link: Link, why: str) -> None:
         self.log("warning", "connection lost", exchange=link.exchange, why=why, route_tries=len(link.tries))
         self.counts.add("connections_lost")
+        self.not_sent(link)
         for one in list(link.tries.values()):
             self.try_over(one, "reset", tell=False, cut_off=True)
         if link.retired:
             self.lose_all(link.exchange)
 
-    def link_refused(self, link: Link) -> None:
-        """Nothing listens there: the process is gone, and with it the calls that stood."""
-        self.lose_all(link.exchange)
+    def not_sent(self, link: Link) -> None:
+        """What waited for the connection never ran."""
+        for tag in list(link.waiting):
+            self.try_over(link.tries[tag], "connect_failed", tell=False, cut_off=False)
+
+    def link_refused(self, link: Link, gone: bool) -> None:
+        """`gone`: nothing listens there, so the process is gone, and with it the calls that stood."""
+        self.not_sent(link)
+        if gone:
+            self.lose_all(link.exchange)
 
     def link_heard(self, link: Link, line: lines.Line) -> None:
         verb = line.verb
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -1,8 +1,13 @@
-"""The connection to one exchange: made, tested where it is silent, made again after growing, drawn waits.
+"""The connection to one exchange: made, tested where it is quiet, made again after growing, drawn waits.
 
 What a connection tells is the owner's to use; this keeps only whether there is one, and whether the exchange
 speaks on it. A release with an error is no sign of life: whatever stands before a vanished machine goes on
 answering so to set-ups that nobody could use.
+
+A connection may go silent while its exchange is well. How long it may be quiet is measured: many times the
+usual gap between two signs of life. It is then tested, and given up where no sign follows. The next one is
+dialled at once, and set-ups of that moment wait for it: that a connection was lost says nothing of the
+exchange, that none can be made does.
 """
 
 from __future__ import annotations
@@ -16,10 +21,11 @@
     from peattrestle.platform.agent import Try
 
 MS = 1_000_000
-RETRY_LEAST, RETRY_MOST = 40 * MS, 500 * MS
-LOOK = 250 * MS  # how often a connection is looked at
-QUIET = 1000 * MS  # no sign of life for so long: it is tested
-SILENT = 1000 * MS  # none for so long after a test: it is given up
+RETRY_LEAST, RETRY_MOST = 40 * MS, 250 * MS
+GAP_FIRST = 100 * MS
+GAPS = 10  # of the usual length without a sign of life, within the two below: it is tested
+QUIET_LEAST, QUIET_MOST = 100 * MS, 1000 * MS
+SILENT = 300 * MS  # none for so long after a test: it is given up
 MOST_UNREAD = 262_144
 
 
@@ -28,12 +34,13 @@
 
     def link_up(self, link: Link) -> None: ...
     def link_lost(self, link: Link, why: str) -> None: ...
-    def link_refused(self, link: Link) -> None: ...
+    def link_refused(self, link: Link, gone: bool) -> None: ...
     def link_heard(self, link: Link, line: lines.Line) -> None: ...
 
 
 class Link:
-    """`tries`: the set-ups out on it, by the call's id on the wire. `address` is where it is made next."""
+    """`tries`: the set-ups out on it, by the call's id on the wire; `waiting`: those that wait for the
+    connection, with their bytes. `address` is where it is made next."""
 
     def __init__(self, kernel: Kernel, owner: Owner, exchange: str, address: str, dial_timeout: int) -> None:
         self.kernel, self.owner, self.exchange, self.address = kernel, owner, exchange, address
@@ -41,7 +48,9 @@
         self.stream: Stream | None = None
         self.tried = self.spoke = self.closing = self.retired = False
         self.tries: dict[str, Try] = {}
+        self.waiting: dict[str, bytes] = {}
         self.alive_at = self.asked_at = 0
+        self.gap = GAP_FIRST
         self.draw = kernel.chance(f"link/{exchange}")
         self.task = kernel.spawn(self.run(), f"link {exchange}")
 
@@ -50,6 +59,11 @@
         """There is a connection, and the exchange has spoken on it: its report comes first on each."""
         return self.stream is not None and self.spoke
 
+    @property
+    def coming(self) -> bool:
+        """None of the attempts since the last connection has failed so far."""
+        return not self.tried and not self.retired and not self.closing
+
     def run(self) -> Coroutine[None]:
         wait = RETRY_LEAST
         self.alive_at = self.kernel.now()
@@ -59,26 +73,26 @@
                 stream = yield from self.kernel.connect(self.address, self.dial_timeout)
             except (Refused, ValueError) as fault:
                 self.tried = True
-                if "ECONNREFUSED" in str(fault):
-                    self.owner.link_refused(self)
+                self.owner.link_refused(self, "ECONNREFUSED" in str(fault))
             else:
                 why = yield from self.converse(stream)
                 stream.abort()
-                self.stream = None
-                if self.kernel.now() - began > RETRY_MOST:
-                    wait = RETRY_LEAST
+                self.stream, self.tried = None, not self.spoke
                 self.owner.link_lost(self, why)
+                if self.spoke and self.kernel.now() - began > RETRY_MOST:
+                    wait = RETRY_LEAST
+                    if not self.retired:
+                        continue
             if self.closing or self.retired:
                 return
             yield from self.kernel.sleep(round(wait * (1 + self.draw.random()) / 2))
             wait = min(2 * wait, RETRY_MOST)
 
     def converse(self, stream: Stream) -> Coroutine[str]:
-        self.stream, self.tried, self.spoke = stream, True, False
+        self.stream, self.spoke = stream, False
         self.asked_at = 0
         reader = lines.Reader()
         keeper = self.kernel.spawn(self.keep(stream), f"keeper {self.exchange}")
-        self.owner.link_up(self)
         try:
             while True:
                 data = yield from stream.read()
@@ -87,7 +101,7 @@
                 reader.feed(data)
                 while (line := reader.next()) is not None:
                     if line.verb != "FINISH" or line.rc not in lines.ERRORS:
-                        self.spoke, self.alive_at, self.asked_at = True, self.kernel.now(), 0
+                        self.alive()
                     self.owner.link_heard(self, line)
                 if stream.unsent > MOST_UNREAD:
                     return f"it left {stream.unsent} bytes unread"
@@ -100,17 +114,31 @@
         finally:
             keeper.cancel()
 
+    def alive(self) -> None:
+        now = self.kernel.now()
+        self.gap += (min(now - self.alive_at, QUIET_MOST) - self.gap) // 8
+        self.alive_at, self.asked_at = now, 0
+        if not self.spoke:
+            self.spoke = self.tried = True
+            self.owner.link_up(self)
+
     def keep(self, stream: Stream) -> Coroutine[None]:
-        """A machine that vanished gives no sign: one that is quiet is tested, a silent one given up."""
+        """A machine that vanished gives no sign, nor does a connection that was forgotten on its way."""
+        began = self.kernel.now()
         while True:
-            yield from self.kernel.sleep(LOOK)
             now = self.kernel.now()
-            if self.asked_at and now - self.asked_at >= SILENT:
-                stream.abort()
-                return
-            if not self.asked_at and now - self.alive_at >= QUIET:
-                self.asked_at = now
-                stream.write(lines.test(f"{now & 0xFFFFFFFFFFFFFFFF:016x}", False))
+            if self.asked_at:
+                left = self.asked_at + SILENT - now
+                if left <= 0:
+                    stream.abort()
+                    return
+            else:
+                quiet = min(QUIET_MOST, max(QUIET_LEAST, GAPS * self.gap))
+                left = max(self.alive_at, began) + quiet - now
+                if left <= 0:
+                    self.asked_at, left = now, SILENT
+                    stream.write(lines.test(f"{now & 0xFFFFFFFFFFFFFFFF:016x}", False))
+            yield from self.kernel.sleep(left)
 
     def send(self, data: bytes) -> bool:
         if self.stream is None:
