--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -27,7 +27,7 @@
 )
 from peattrestle.platform.config import Config
 from peattrestle.platform.follow import Follower
-from peattrestle.platform.link import Link
+from peattrestle.platform.link import Lane, Link
 from peattrestle.runtime import Coroutine, Kernel, Listener, Lost
 from peattrestle.sip import text as sip
 
@@ -46,7 +46,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Try(RouteTry):
+    """`lane` is the connection it went out on, None while it waits for one."""
+
     link: Link
+    lane: Lane | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -113,7 +116,7 @@
 
     def settle(self) -> Coroutine[None]:
         until = self.kernel.now() + SETTLE
-        while self.kernel.now() < until and not all(one.spoke for one in self.links.values()):
+        while self.kernel.now() < until and not all(one.up for one in self.links.values()):
             yield from self.kernel.sleep(5 * MS)
         self.ready = True
         up = sum(one.up for one in self.links.values())
@@ -171,6 +174,8 @@
                 self.members.pop(one.exchange, None)
                 self.sizes.pop(one.exchange, None)
                 self.retire(one.exchange)
+                if one.exchange not in self.links:
+                    self.guard.exchanges.pop(one.exchange, None)
                 continue
             self.members[one.exchange] = one
             if before is not None and one.born_ms > before.born_ms:
@@ -245,7 +250,7 @@
             while data := (yield from stream.read(16_384)):
                 reader.feed(data)
                 while (message := reader.next()) is not None:
-                    caller.spoken = True
+                    caller.spoken, caller.unfinished_at = True, 0
                     self.heard(caller, message)
                 if not reader.partial:
                     caller.unfinished_at = 0
@@ -393,20 +398,13 @@
         one = Try(call, number, action.exchange, self.kernel.now(), link=link)
         left = max(1, action.patience // MS)
         data = lines.set_up(asked.tag, asked.bearer_type, asked.number, left, asked.description)
-        if link.up:
-            link.send(data)
-        else:
-            link.waiting[asked.tag] = data
-        link.tries[asked.tag] = one
+        link.set_up(one, asked.tag, data)
         return one
 
     def end_launched(self, one: Try, tell: bool) -> None:
         tag, link = one.call.asked.tag, one.link
         if one.state == "out":
-            if link.tries.get(tag) is one:
-                del link.tries[tag]
-                if link.waiting.pop(tag, None) is None and tell:
-                    link.send(lines.release(tag, lines.NORMAL))
+            link.over(one, tag, lines.release(tag, lines.NORMAL) if tell else b"")
             return
         there = self.standing.get(one.exchange, {})
         if there.pop(tag, None) is not None and not there:
@@ -457,21 +455,21 @@
             if member is None or member.state != "ready":  # it has begun to leave while they waited
                 self.try_over(link.tries[tag], "connect_failed", tell=False, cut_off=False)
             else:
-                link.send(data)
+                link.set_up(link.tries[tag], tag, data)
         for data in self.owed_finishes.pop(link.exchange, ()):
             link.send(data)
 
-    def link_lost(self, link: Link, why: str) -> None:
-        self.log("warning", "connection lost", exchange=link.exchange, why=why, route_tries=len(link.tries))
+    def link_lost(self, link: Link, tries: list[Try], why: str) -> None:
+        self.log("warning", "connection lost", exchange=link.exchange, why=why, route_tries=len(tries))
         self.counts.add("connections_lost")
         self.not_sent(link)
-        for one in list(link.tries.values()):
+        for one in tries:
             self.try_over(one, "reset", tell=False, cut_off=True)
-        if link.retired:
+        if link.retired and not link.up:
             self.lose_all(link.exchange)
 
     def not_sent(self, link: Link) -> None:
-        """What waited for the connection never ran."""
+        """What waited for a connection never ran."""
         for tag in list(link.waiting):
             self.try_over(link.tries[tag], "connect_failed", tell=False, cut_off=False)
 
@@ -481,29 +479,32 @@
         if gone:
             self.lose_all(link.exchange)
 
-    def link_heard(self, link: Link, line: lines.Line) -> None:
+    def link_heard(self, link: Link, lane: Lane, line: lines.Line) -> None:
         verb = line.verb
+        if verb == "LOAD" and lane is not link.first:
+            return
         load = mapping.load(line.opts["load"]) if "load" in line.opts else {}
+        one = link.tries.get(line.tag)
+        if one is not None and one.lane is not lane:
+            one = None  # an answer to an earlier try of the same call
         if load:
             size = load.get("size", self.sizes.get(link.exchange, 0.0))
             if size != self.sizes.get(link.exchange) and link.exchange in self.members:
                 self.sizes[link.exchange] = size
                 self.guard.carried = sum(self.sizes.values()) / self.holding
         if verb == "STARTED":
-            one = link.tries.get(line.tag)
             if one is None:
                 self.counts.add("stray_answers")
             elif not line.blob:
                 self.counts.add("spoilt_answers")
                 self.try_over(one, "reset", tell=True, cut_off=True)
             else:
-                del link.tries[line.tag]
+                link.over(one, line.tag, b"")
                 one.call.description = line.blob
                 self.standing.setdefault(link.exchange, {})[line.tag] = one.call
                 self.stands(one, load)
                 return
         elif verb == "FINISH":
-            one = link.tries.get(line.tag)
             if one is not None:
                 if not isinstance(line.rc, int):
                     raise lines.BadLine("a release without a cause")
@@ -513,7 +514,7 @@
                 return
             self.ended_there(link, line)
         elif verb == "ECHO":
-            link.send(lines.test_passed(line.tag))
+            lane.write(lines.test_passed(line.tag))
         if load:
             self.post(api.Reported(link.exchange, "served", 0, load))
 
--- a/peattrestle/platform/config.py
+++ b/peattrestle/platform/config.py
@@ -63,9 +63,11 @@
     if not isinstance(name, str) or not name:
         raise BadConfig("name: missing, or no text")
     try:
-        drawn = int(seed, 16) if isinstance(seed, str) else int(seed or 0)
-    except (TypeError, ValueError):
-        raise BadConfig("seed: not a hexadecimal number") from None
+        drawn = int(seed, 16) if isinstance(seed, str) else -1
+    except ValueError:
+        drawn = -1
+    if drawn < 0:
+        raise BadConfig("seed: not a hexadecimal number")
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
     if not isinstance(sockets, int) or sockets < 32:
         raise BadConfig("limits.sockets: not a whole number from 32 on")
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -1,13 +1,15 @@
-"""The connection to one exchange: made, tested where it is quiet, made again after growing, drawn waits.
+"""The connections to one exchange: made, tested where they are quiet, made again after growing, drawn waits.
 
 What a connection tells is the owner's to use; this keeps only whether there is one, and whether the exchange
 speaks on it. A release with an error is no sign of life: whatever stands before a vanished machine goes on
 answering so to set-ups that nobody could use.
 
-A connection may go silent while its exchange is well. How long it may be quiet is measured: many times the
-usual gap between two signs of life. It is then tested, and given up where no sign follows. The next one is
-dialled at once, and set-ups of that moment wait for it: that a connection was lost says nothing of the
-exchange, that none can be made does.
+There are two, so that one that is spoilt, reset or forgotten on its way takes only its part of the open
+set-ups with it. A connection may go silent while its exchange is well. How long it may be quiet is measured:
+many times the usual gap between two signs of life, or less where the other one hears reports that both must
+hear. It is then tested, and given up where no sign follows. The next one is dialled at once, and where there
+is no other, set-ups of that moment wait for it: that a connection was lost says nothing of the exchange,
+that none can be made does.
 """
 
 from __future__ import annotations
@@ -21,11 +23,13 @@
     from peattrestle.platform.agent import Try
 
 MS = 1_000_000
+LANES = 2
 RETRY_LEAST, RETRY_MOST = 40 * MS, 250 * MS
 GAP_FIRST = 100 * MS
 GAPS = 10  # of the usual length without a sign of life, within the two below: it is tested
 QUIET_LEAST, QUIET_MOST = 100 * MS, 1000 * MS
 SILENT = 300 * MS  # none for so long after a test: it is given up
+MISSED, MISSED_QUIET, MISSED_SILENT = 4, 50 * MS, 150 * MS  # where the other connection hears reports
 MOST_UNREAD = 262_144
 
 
@@ -33,66 +37,56 @@
     """What a link tells the agent."""
 
     def link_up(self, link: Link) -> None: ...
-    def link_lost(self, link: Link, why: str) -> None: ...
+    def link_lost(self, link: Link, tries: list[Try], why: str) -> None: ...
     def link_refused(self, link: Link, gone: bool) -> None: ...
-    def link_heard(self, link: Link, line: lines.Line) -> None: ...
+    def link_heard(self, link: Link, lane: Lane, line: lines.Line) -> None: ...
 
 
-class Link:
-    """`tries`: the set-ups out on it, by the call's id on the wire; `waiting`: those that wait for the
-    connection, with their bytes. `address` is where it is made next."""
+class Lane:
+    """One connection, or the next one in its place. `out`: how many set-ups are out on it."""
 
-    def __init__(self, kernel: Kernel, owner: Owner, exchange: str, address: str, dial_timeout: int) -> None:
-        self.kernel, self.owner, self.exchange, self.address = kernel, owner, exchange, address
-        self.dial_timeout = dial_timeout
+    def __init__(self, link: Link, place: int) -> None:
+        self.link, self.kernel = link, link.kernel
         self.stream: Stream | None = None
-        self.tried = self.spoke = self.closing = self.retired = False
-        self.tries: dict[str, Try] = {}
-        self.waiting: dict[str, bytes] = {}
+        self.spoke = False
+        self.out = self.missed = 0
         self.alive_at = self.asked_at = 0
         self.gap = GAP_FIRST
-        self.draw = kernel.chance(f"link/{exchange}")
-        self.task = kernel.spawn(self.run(), f"link {exchange}")
+        self.draw = self.kernel.chance(f"link/{link.exchange}/{place}")
+        self.task = self.kernel.spawn(self.run(), f"link {link.exchange}")
 
     @property
     def up(self) -> bool:
         """There is a connection, and the exchange has spoken on it: its report comes first on each."""
         return self.stream is not None and self.spoke
 
-    @property
-    def coming(self) -> bool:
-        """None of the attempts since the last connection has failed so far."""
-        return not self.tried and not self.retired and not self.closing
-
     def run(self) -> Coroutine[None]:
-        wait = RETRY_LEAST
-        self.alive_at = self.kernel.now()
-        while not self.closing:
+        link, wait = self.link, RETRY_LEAST
+        while not link.ending:
             began = self.kernel.now()
+            spoke = False
             try:
-                stream = yield from self.kernel.connect(self.address, self.dial_timeout)
+                stream = yield from self.kernel.connect(link.address, link.dial_timeout)
             except (Refused, ValueError) as fault:
-                self.tried = True
-                self.owner.link_refused(self, "ECONNREFUSED" in str(fault))
+                link.failed = True
+                link.owner.link_refused(link, "ECONNREFUSED" in str(fault))
             else:
-                why = yield from self.converse(stream)
+                why = "not wanted any more" if link.ending else (yield from self.converse(stream))
                 stream.abort()
-                self.stream, self.tried = None, not self.spoke
-                self.owner.link_lost(self, why)
-                if self.spoke and self.kernel.now() - began > RETRY_MOST:
-                    wait = RETRY_LEAST
-                    if not self.retired:
-                        continue
-            if self.closing or self.retired:
-                return
-            yield from self.kernel.sleep(round(wait * (1 + self.draw.random()) / 2))
-            wait = min(2 * wait, RETRY_MOST)
+                spoke, self.stream, self.spoke = self.spoke, None, False
+                link.failed = link.failed or not spoke
+                link.lost(self, why)
+            if spoke and self.kernel.now() - began > RETRY_MOST:
+                wait = RETRY_LEAST
+            elif not link.ending:
+                yield from self.kernel.sleep(round(wait * (1 + self.draw.random()) / 2))
+                wait = min(2 * wait, RETRY_MOST)
 
     def converse(self, stream: Stream) -> Coroutine[str]:
         self.stream, self.spoke = stream, False
-        self.asked_at = 0
+        self.alive_at, self.asked_at, self.missed = self.kernel.now(), 0, 0
         reader = lines.Reader()
-        keeper = self.kernel.spawn(self.keep(stream), f"keeper {self.exchange}")
+        keeper = self.kernel.spawn(self.keep(stream), f"keeper {self.link.exchange}")
         try:
             while True:
                 data = yield from stream.read()
@@ -101,8 +95,8 @@
                 reader.feed(data)
                 while (line := reader.next()) is not None:
                     if line.verb != "FINISH" or line.rc not in lines.ERRORS:
-                        self.alive()
-                    self.owner.link_heard(self, line)
+                        self.alive(line.verb == "LOAD")
+                    self.link.owner.link_heard(self.link, self, line)
                 if stream.unsent > MOST_UNREAD:
                     return f"it left {stream.unsent} bytes unread"
                 if len(data) == 65536:
@@ -114,41 +108,122 @@
         finally:
             keeper.cancel()
 
-    def alive(self) -> None:
+    def alive(self, report: bool) -> None:
         now = self.kernel.now()
         self.gap += (min(now - self.alive_at, QUIET_MOST) - self.gap) // 8
-        self.alive_at, self.asked_at = now, 0
-        if not self.spoke:
-            self.spoke = self.tried = True
-            self.owner.link_up(self)
+        self.alive_at, self.asked_at, self.missed = now, 0, 0
+        fresh, self.spoke = not self.spoke, True
+        self.link.alive(self, report, fresh)
+
+    def write(self, data: bytes) -> None:
+        if self.stream is not None:
+            self.stream.write(data)
+
+    def misses(self) -> None:
+        """Another connection has heard a report that goes out on all."""
+        self.missed += 1
+        quiet = self.kernel.now() - self.alive_at
+        if self.missed >= MISSED and quiet >= MISSED_QUIET and not self.asked_at and self.stream is not None:
+            self.ask(self.stream, MISSED_SILENT)
+
+    def ask(self, stream: Stream, wait: int) -> None:
+        """Tests the connection; without a sign of life after `wait` it is given up."""
+        asked_at = self.asked_at = self.kernel.now()
+        stream.write(lines.test(f"{asked_at & 0xFFFFFFFFFFFFFFFF:016x}", False))
+
+        def look() -> None:
+            if self.stream is stream and self.asked_at == asked_at:
+                stream.abort()
+
+        self.kernel.at(asked_at + wait, look)
 
     def keep(self, stream: Stream) -> Coroutine[None]:
         """A machine that vanished gives no sign, nor does a connection that was forgotten on its way."""
-        began = self.kernel.now()
         while True:
-            now = self.kernel.now()
-            if self.asked_at:
-                left = self.asked_at + SILENT - now
-                if left <= 0:
-                    stream.abort()
-                    return
-            else:
-                quiet = min(QUIET_MOST, max(QUIET_LEAST, GAPS * self.gap))
-                left = max(self.alive_at, began) + quiet - now
-                if left <= 0:
-                    self.asked_at, left = now, SILENT
-                    stream.write(lines.test(f"{now & 0xFFFFFFFFFFFFFFFF:016x}", False))
-            yield from self.kernel.sleep(left)
+            quiet = min(QUIET_MOST, max(QUIET_LEAST, GAPS * self.gap))
+            left = self.alive_at + quiet - self.kernel.now()
+            if left <= 0 and not self.asked_at:
+                self.ask(stream, SILENT)
+            yield from self.kernel.sleep(left if left > 0 else QUIET_LEAST)
+
+
+class Link:
+    """`tries`: the set-ups out there, by the call's id on the wire; `waiting`: those that wait for a
+    connection, with their bytes. `address` is where the next is made; `alive_at`: the last sign of life."""
+
+    def __init__(self, kernel: Kernel, owner: Owner, exchange: str, address: str, dial_timeout: int) -> None:
+        self.kernel, self.owner, self.exchange, self.address = kernel, owner, exchange, address
+        self.dial_timeout = dial_timeout
+        self.failed = self.closing = self.retired = False
+        self.tries: dict[str, Try] = {}
+        self.waiting: dict[str, bytes] = {}
+        self.alive_at = kernel.now()
+        self.lanes = [Lane(self, place) for place in range(LANES)]
+
+    @property
+    def up(self) -> bool:
+        return any(lane.up for lane in self.lanes)
+
+    @property
+    def ending(self) -> bool:
+        return self.closing or self.retired
+
+    @property
+    def coming(self) -> bool:
+        """No attempt to make a connection has failed since there was one."""
+        return not self.failed and not self.ending
+
+    @property
+    def first(self) -> Lane | None:
+        """The connection whose reports count: two would overtake one another."""
+        return next((lane for lane in self.lanes if lane.up), None)
+
+    def alive(self, lane: Lane, report: bool, fresh: bool) -> None:
+        self.alive_at, self.failed = lane.alive_at, False
+        if fresh:
+            self.owner.link_up(self)
+        if report:
+            for other in self.lanes:
+                if other is not lane:
+                    other.misses()
+
+    def lost(self, lane: Lane, why: str) -> None:
+        lane.out = 0
+        self.owner.link_lost(self, [one for one in self.tries.values() if one.lane is lane], why)
+
+    def set_up(self, one: Try, tag: str, data: bytes) -> None:
+        """On the connection with the fewest out, of those the one that spoke last; else it waits."""
+        lanes = [lane for lane in self.lanes if lane.up]
+        self.tries[tag] = one
+        if not lanes:
+            self.waiting[tag] = data
+            return
+        one.lane = min(lanes, key=lambda lane: (lane.out, -lane.alive_at))
+        one.lane.out += 1
+        one.lane.write(data)
+
+    def over(self, one: Try, tag: str, data: bytes) -> None:
+        """A set-up is out no more; `data`, where there is any, tells the exchange on the same connection."""
+        if self.tries.get(tag) is not one:
+            return
+        del self.tries[tag]
+        self.waiting.pop(tag, None)
+        if one.lane is not None:
+            one.lane.out = max(0, one.lane.out - 1)
+            one.lane.write(data)
 
     def send(self, data: bytes) -> bool:
-        if self.stream is None:
-            return False
-        self.stream.write(data)
-        return True
+        """On any connection; False where there is none."""
+        for lane in self.lanes:
+            if lane.up:
+                lane.write(data)
+                return True
+        return False
 
     def close(self) -> None:
         self.closing = True
-        if self.stream is not None:
-            self.stream.close()
-            self.stream = None
-        self.task.cancel()
+        for lane in self.lanes:
+            if lane.stream is not None:
+                lane.stream.close()
+                lane.stream = None
+            lane.task.cancel()
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -88,7 +88,8 @@
         self.manner: Callable[[Stream, Line], None] = self.stands
         self.load = LOAD
         self.silent = False
-        self.dead: Stream | None = None  # a connection that is silent while others are not
+        self.dead: list[Stream] = []  # connections that are silent while others are not
+        self.where: dict[str, Stream] = {}  # the connection of each set-up
         self.listener = town.kernel.listen(f"127.0.1.{number}:3868")
         self.task = town.kernel.spawn(self.run(), f"exchange {number}")
 
@@ -110,8 +111,9 @@
             while (line := reader.next()) is not None:
                 self.lines.append(line)
                 if line.verb == "START":
+                    self.where[line.tag] = stream
                     self.manner(stream, line)
-                elif line.verb == "ECHO" and not self.silent and stream is not self.dead:
+                elif line.verb == "ECHO" and not self.silent and stream not in self.dead:
                     self.say(stream, verb="ECHOED", tag=line.tag, rc=1)
 
     def say(self, stream: Stream, **more: Any) -> None:
@@ -407,7 +409,7 @@
     town.pass_time(50)
     assert (caller.statuses("CANCEL"), caller.statuses()) == ([200], [487])
     assert town.exchanges[1].verbs() == ["START", "FINISH"]
-    town.exchanges[1].stands(town.exchanges[1].streams[0], Line("START", TAG))
+    town.exchanges[1].stands(town.exchanges[1].where[TAG], Line("START", TAG))
     town.pass_time(2000)
     assert caller.statuses() == [487]
     town.at_rest()
@@ -467,7 +469,7 @@
         town.kernel.network.cut = lambda source, address: "127.0.1.1:3868" in (source, address)
     town.pass_time(2700)
     if errors_go_on:
-        assert len(exchange.streams) > 1  # the first was given up
+        assert len(exchange.streams) > 2  # the first ones were given up
     town.pass_time(300)
     assert not town.agent.links["s1"].up and caller.released() == []
     town.pass_time(5000)
@@ -527,7 +529,7 @@
     first = town.caller(invite())
     second = town.caller(invite(body="other"), invite(body="other"))
     assert second.statuses() == [482, 482] and first.statuses() == []
-    exchange.stands(exchange.streams[0], Line("START", TAG))
+    exchange.stands(exchange.where[TAG], Line("START", TAG))
     town.pass_time(50)
     assert first.statuses() == [200] and len(exchange.lines) == 1
 
@@ -607,7 +609,7 @@
     change = town.agent.state.known({"n": 2, "events": [event(2, host("s1", 1, "DELETED"), host("s9", 1))]})
     town.agent.told(change[0])
     town.pass_time(300)
-    assert set(town.agent.links) == {"s2", "s9"} and len(new.streams) == 1
+    assert set(town.agent.links) == {"s2", "s9"} and len(new.streams) == 2
     assert town.caller(invite()).statuses() == [200]
     assert [line.tag for line in new.lines if line.verb == "START"] == [TAG]
     assert "s1" not in town.agent.guard.exchanges and "s1" not in town.agent.sizes
@@ -621,7 +623,7 @@
     town.agent.reload(configuration.read(config_text(feed="127.0.2.2:9092")))
     town.pass_time(100)
     assert moved.asked_from == [1] and caller.statuses() == []
-    town.exchanges[1].stands(town.exchanges[1].streams[0], Line("START", TAG))
+    town.exchanges[1].stands(town.exchanges[1].where[TAG], Line("START", TAG))
     town.pass_time(50)
     assert caller.statuses() == [200]
 
@@ -637,7 +639,7 @@
     assert caller.statuses("OPTIONS") == [503]
     town.pass_time(690)
     assert not town.ended
-    exchange.stands(exchange.streams[0], Line("START", TAG))
+    exchange.stands(exchange.where[TAG], Line("START", TAG))
     town.pass_time(1000)
     assert caller.statuses() == [200] and not town.ended  # until its release, or until late
     if ends:
@@ -662,49 +664,70 @@
     assert len(town.agent.ended_at) <= platform.MOST_OWED
 
 
-def test_a_connection_that_goes_silent_is_soon_given_up_and_the_exchange_not_blamed() -> None:
+@pytest.mark.parametrize(("dead", "within"), [(1, 300), (2, 700)])
+def test_a_connection_that_goes_silent_is_soon_given_up_and_the_exchange_not_blamed(
+    dead: int, within: int
+) -> None:
     town = Town()
     exchange = town.exchanges[1]
-    for number in range(30):  # it is used to a sign of life every 20 ms or so
-        town.kernel.at(
-            town.kernel.now() + number * 20 * MS,
-            lambda: exchange.say(exchange.streams[0], verb="LOAD", opts={"load": LOAD}),
-        )
+
+    def reports() -> None:
+        for stream in exchange.streams:
+            if stream not in exchange.dead:
+                exchange.say(stream, verb="LOAD", opts={"load": LOAD})
+
+    for number in range(70):
+        town.kernel.at(town.kernel.now() + number * 20 * MS, reports)
     town.pass_time(600)
-    dead = exchange.dead = exchange.streams[0]
-    exchange.manner = lambda stream, line: exchange.stands(stream, line) if stream is not dead else None
-    lost = town.caller(invite("00000000000000aa"))
-    town.pass_time(640)
-    assert len(exchange.streams) == 2 and len(lost.statuses()) == 1
+    exchange.dead = exchange.streams[:dead]
+    exchange.manner = lambda stream, line: None if stream in exchange.dead else exchange.stands(stream, line)
+    caller = town.caller(invite("00000000000000aa"), invite("00000000000000bb"))  # one on each connection
+    town.pass_time(within - 60)
+    assert len(exchange.streams) == 2 + dead
+    assert len(caller.statuses()) == 2 and caller.statuses().count(200) == 2 - dead
     assert [text for _, text in town.logs if "pressed" in text] == []
     assert town.caller(invite()).statuses() == [200]
-    town.pass_time(2000)
 
 
 @pytest.mark.parametrize(("state", "sent"), [("SERVING", True), ("DRAINING", False)])
 def test_set_ups_wait_for_a_connection_lost_just_now(state: str, sent: bool) -> None:
     town = Town()
-    exchange = town.exchanges[1]
-    for stream in exchange.streams:
-        stream.abort()
-    while town.agent.links["s1"].up:
-        town.pass_time(0.1)
-    caller = town.caller(invite())
-    assert caller.statuses() == [200] and len(exchange.streams) == 2
+    exchange, link = town.exchanges[1], town.agent.links["s1"]
+    town.pass_time(500)
+
+    def lose() -> None:
+        for stream in exchange.streams:
+            stream.abort()
+        while link.up:
+            town.pass_time(0.1)
+
+    lose()
+    assert town.caller(invite()).statuses() == [200]
+    town.pass_time(500)
     # And where the exchange has begun to leave meanwhile, they are not sent there.
-    link = town.agent.links["s1"]
     exchange.silent = True
-    exchange.streams[-1].abort()
-    while link.up:
-        town.pass_time(0.1)
+    lose()
     town.caller(invite("00000000000000aa"))
     assert list(link.waiting) == ["00000000000000aa"]
-    town.pass_time(60)
     change = town.agent.state.known({"n": 2, "events": [event(2, host("s1", 1, state))]})
     town.agent.told(change[0])
     exchange.say(exchange.streams[-1], verb="LOAD", opts={"load": LOAD})
     town.pass_time(30)
-    assert ("00000000000000aa" in [one.tag for one in exchange.lines if one.verb == "START"]) == sent
+    assert ("00000000000000aa" in exchange.where) == sent
+
+
+def test_a_late_answer_to_an_earlier_try_is_not_taken_for_the_next_ones() -> None:
+    town = Town()
+    exchange, link = town.exchanges[1], town.agent.links["s1"]
+    exchange.manner = lambda stream, line: None
+    caller = town.caller(invite())
+    first = exchange.where[TAG]
+    exchange.stands(next(one for one in exchange.streams if one is not first), Line("START", TAG))
+    town.pass_time(30)
+    assert caller.statuses() == [] and len(link.tries) == 1
+    exchange.stands(first, Line("START", TAG))
+    town.pass_time(30)
+    assert caller.statuses() == [200]
 
 
 def test_an_exchange_where_no_connection_can_be_made_is_told_at_once() -> None:
--- /dev/null
+++ b/tests/platform/test_config.py
@@ -0,0 +1,68 @@
+"""The platform's configuration: read whole, or refused with place and fault."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from peattrestle.platform.config import BadConfig, load, read
+from tests.platform.test_agent import SETTINGS, config_text
+
+MS = 1_000_000
+
+
+def test_what_is_read() -> None:
+    config = read(config_text(seed="00ff"))
+    assert (config.name, config.listen, config.feed) == ("n0", "127.0.0.1:3868", "127.0.2.1:9092")
+    assert (config.seed, config.sockets, set(config.bearer_types)) == (255, 96, {"line"})
+    assert config.settings["gos_target:line"] == 380 * MS and config.settings["release_time"] == 150 * MS
+
+
+def without(name: str, **more: Any) -> dict[str, Any]:
+    """The settings with this part replaced, left out where nothing is given."""
+    return {key: value for key, value in SETTINGS.items() if key != name} | more
+
+
+@pytest.mark.parametrize(
+    ("more", "place"),
+    [
+        ({"name": ""}, "name"),
+        ({"name": 3}, "name"),
+        ({"seed": "xyz"}, "seed"),
+        ({"seed": []}, "seed"),
+        ({"listen": None}, "listen"),
+        ({"listen": "127.0.0.1"}, "listen"),
+        ({"listen": "0.0.0.0:80"}, "listen"),
+        ({"feed": "127.0.0.1:99999"}, "feed"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"known": []}, "known"),
+        ({"known": {"n": 1, "events": [{"n": "x"}]}}, "known"),
+        ({"settings": None}, "settings"),
+        ({"settings": {}}, "settings"),
+        ({"settings": without("Classes", Classes=[])}, "settings"),
+        ({"settings": without("Classes", Classes=[{}])}, "settings"),
+        ({"settings": without("Classes", Classes=[{"Name": "line"}])}, "gos_target:line"),
+        ({"settings": without("FamilyInfo")}, "own_number"),
+        ({"settings": without("Rules", Rules={"ColdUs": "soon"})}, "settings"),
+    ],
+)
+def test_each_fault_is_named_with_its_place(more: dict[str, Any], place: str) -> None:
+    with pytest.raises(BadConfig, match=place):
+        read(config_text(**more))
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "[" * 100_000, '"text"', "{}"])
+def test_what_is_no_configuration(text: str) -> None:
+    with pytest.raises(BadConfig):
+        read(text)
+
+
+def test_a_file_that_is_not_there_is_named(tmp_path: Any) -> None:
+    with pytest.raises(BadConfig, match="none.json: No such file"):
+        load(str(tmp_path / "none.json"))
+    (tmp_path / "a.json").write_bytes(json.dumps({}).encode("utf-16"))
+    with pytest.raises(BadConfig, match=r"a.json: not UTF-8"):
+        load(str(tmp_path / "a.json"))
