--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -503,8 +503,8 @@
         until, _ = self.gaps.get(asked.number, (0, 0))
         seen = None if asked.transit else asked.seen or self.sight.asked(
             self.loop.now, self.wanted(asked), asked.repeat, asked.cut_before)
-        if destination is None or asked.destination == self.own_number or asked.held:
-            # Nowhere to go, or nothing to route: a set-up to itself is a fault. Or over its gateway's share.
+        if destination is None or asked.destination == self.own_number and asked.transit or asked.held:
+            # Nowhere to go, or over its gateway's share. Callers whose agent is away call here by a tandem.
             self.refuse(asked, seen)
         elif self.loop.now < until and not asked.transit:
             self.refuse(asked, seen, until - self.loop.now)
