--- a/peattrestle/calls/core.py
+++ b/peattrestle/calls/core.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Generic, TypeVar
@@ -142,7 +143,7 @@
         if self._listed:  # what the list tells holds for the calls that came with it
             self._listed = False
             events.sort(key=lambda event: not isinstance(event, api.Listed))
-        for action in self.controller.handle(self.kernel.now(), events):
+        for action in self.decide(events):
             match action:
                 case api.SetUp():
                     self.set_up(action)
@@ -158,6 +159,16 @@
                     pass  # every source of the list pushes
         self._just_left.clear()
 
+    def decide(self, events: list[api.Event]) -> list[api.Action]:
+        """A fault of the module must not end the agent: its calls get their answers by their timers."""
+        try:
+            return self.controller.handle(self.kernel.now(), events)
+        except Exception as fault:
+            where = "".join(traceback.format_tb(fault.__traceback__)[-2:])
+            self.counts.add("module_faults")
+            self.log("error", "the module raised", error=repr(fault), where=where)
+            return []
+
     # Calls: in.
 
     def take(self, call: C, arrived: api.CallArrived) -> None:
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from peattrestle import interface as api
 from peattrestle.calls.core import OPEN, STANDS, STOOD, Call, Core, Final, RouteTry, Unsent
@@ -27,7 +27,7 @@
 )
 from peattrestle.platform.config import Config
 from peattrestle.platform.follow import Follower
-from peattrestle.platform.link import Lane, Link
+from peattrestle.platform.link import LANES, Lane, Link
 from peattrestle.runtime import Coroutine, Kernel, Listener, Lost
 from peattrestle.sip import text as sip
 
@@ -39,6 +39,7 @@
 LAST_CALLS = 1000 * MS  # after SIGTERM callers' set-ups still come for a while
 KILLED_AFTER = 3000 * MS  # by the platform, where no abandon time is longer
 JUST_COME = 250 * MS
+OWN_SOCKETS = 16  # listener, feed, signals, what is being dialled or closed, standard streams
 MOST_CALLS = 8_000
 MOST_OWED = 2_000
 ENDED_KEPT = 8_000 * MS  # releases of calls not known here, for a set-up that tells of one later
@@ -85,7 +86,6 @@
         self.holding = max(settings[f"holding:{one}"] for one in config.bearer_types)
         self.abandon_time = max(get(f"abandon_time:{one}", 0) for one in config.bearer_types)
         self.dial_timeout: int = get("dial_timeout", 500 * MS)
-        self.most_callers = config.sockets * 2 // 3
         self.tags: dict[str, SipCall] = {}
         self.standing: dict[str, dict[str, SipCall]] = {}
         self.members: dict[str, Member] = {}
@@ -126,6 +126,7 @@
         """A new configuration: the feed may be elsewhere; calls and numbers go on."""
         for change in self.state.known(config.known):
             self.told(change)
+        self.config = replace(self.config, feed=config.feed, sockets=config.sockets)
         if self.follower is not None:
             self.follower.move(config.feed)
         self.log("info", "configuration read again", feed=config.feed)
@@ -222,7 +223,7 @@
                 stream = yield from listener.accept()
             except Lost:
                 return
-            if len(self.callers) >= self.most_callers and not self.close_idle():
+            if len(self.callers) >= self.most_callers() and not self.close_idle():
                 self.counts.add("connections_shed")
                 stream.close()
                 continue
@@ -230,6 +231,11 @@
             self.callers[caller] = None
             self.kernel.spawn(self.serve(caller), "caller")
 
+    def most_callers(self) -> int:
+        """Two thirds of the descriptors, or what the exchanges leave; a third in any case."""
+        sockets = self.config.sockets
+        return max(sockets // 3, min(sockets * 2 // 3, sockets - OWN_SOCKETS - LANES * len(self.links)))
+
     def close_idle(self) -> bool:
         """Closes the connection longest without a word on which no call awaits its answer: first one that
         never spoke, unless it has only just come."""
@@ -352,7 +358,13 @@
 
     def stands_already(self, caller: Caller, asked: Asked, now: int) -> None:
         """A call that stands since before this agent started: only its release is to be passed on."""
-        if asked.tag in self.tags:
+        known = self.tags.get(asked.tag)
+        if known is not None:
+            if known.state == STANDS and known.caller not in self.callers:
+                known.caller = caller  # its own connection is gone: from here on this one is
+            return
+        if len(self.calls) >= MOST_CALLS:
+            self.counts.add("refused_at_bound")
             return
         self.counts.add("taken_over")
         call = SipCall(self.next_id(), now, now, state=STANDS, asked=asked, caller=caller, fields={})
--- a/peattrestle/platform/follow.py
+++ b/peattrestle/platform/follow.py
@@ -53,7 +53,7 @@
                 why = str(fault)
             else:
                 self.stream = stream
-                why = yield from self.read(stream)
+                why = "moved" if self.moved else (yield from self.read(stream))
                 stream.abort()
                 self.stream = None
             if self.moved:
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from peattrestle import interface as api
 from peattrestle.exchangeline import lines
 from peattrestle.exchangeline.lines import Line
 from peattrestle.platform import agent as platform
@@ -329,6 +330,7 @@
         b'{"verb":"STARTED"',
         b'{"verb":"STARTED","tag":"%b","opts":{"load":"x0:a"},"blob":"a"}\n' % TAG.encode(),
         b'{"verb":"FINISH","tag":"%b","opts":{}}\n' % TAG.encode(),
+        b'{"verb":"STARTED","tag":"%b","opts":{}}\n' % TAG.encode(),  # no description: nothing to pass on
         b"",
     ],
 )
@@ -738,3 +740,89 @@
     came = town.kernel.now()
     caller = town.caller(invite())
     assert len(caller.statuses()) == 1 and town.kernel.now() - came < 100 * MS
+
+
+def test_a_fault_of_the_module_ends_neither_the_agent_nor_a_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    town = Town()
+    handle = town.agent.controller.handle
+
+    def raises(now: int, events: Any) -> Any:
+        if any(getattr(one, "number", "") == "7f3a" for one in events):
+            raise ZeroDivisionError
+        return handle(now, events)
+
+    monkeypatch.setattr(town.agent.controller, "handle", raises)
+    caller = town.caller(invite(X_Timer_Ms="300"))
+    town.pass_time(300)
+    assert caller.statuses() == [500]
+    monkeypatch.undo()
+    assert town.caller(invite("00000000000000aa")).statuses() == [200]
+    assert [text for level, text in town.logs if level == "error"] == [
+        "the module raised",
+        "the module left a call unanswered",
+    ]
+
+
+def test_a_standing_call_named_again_belongs_to_the_new_connection() -> None:
+    town = Town()
+    town.caller(invite()).stream.close()
+    town.pass_time(50)
+    other = town.caller(invite(legs="dest:1;at:s1"))
+    third = town.caller(invite("00000000000000aa"))
+    exchange = town.exchanges[1]
+    exchange.say(exchange.streams[0], verb="FINISH", tag=TAG, rc=16)
+    town.pass_time(50)
+    assert (other.released(), third.released()) == (["Q.850;cause=16"], [])
+
+
+@pytest.mark.parametrize(("sockets", "exchanges", "most"), [(96, 2, 64), (256, 66, 108), (256, 100, 85)])
+def test_callers_leave_descriptors_for_the_exchanges(sockets: int, exchanges: int, most: int) -> None:
+    members = [host(f"s{n}", n, dial=f"127.0.4.{n}:1") for n in range(exchanges + 1)]
+    known = {"n": 1, "events": [event(1, *members, whole=True)]}
+    town = Town(limits={"sockets": sockets}, known=known)
+    assert town.agent.most_callers() == most
+
+
+def test_a_busy_connection_may_always_end_within_a_message() -> None:
+    town = Town()
+    caller = town.caller()
+    data = b"".join(invite(f"{number:016x}") for number in range(9))
+    for at in range(0, len(data), len(data) // 10 + 1):  # the end of one message and the begin of the next
+        caller.says(data[at : at + len(data) // 10 + 1])
+        town.pass_time(400)
+    assert caller.statuses() == [200] * 9 and not caller.closed_at
+
+
+def test_what_the_list_tells_goes_to_the_module_before_the_calls_of_the_same_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    town = Town()
+    seen: list[Any] = []
+
+    def handle(now: int, events: list[api.Event]) -> list[api.Action]:
+        seen.extend(events)
+        return []
+
+    monkeypatch.setattr(town.agent.controller, "handle", handle)
+    town.agent.post(api.TimerDue("a"))
+    town.agent.post(api.Listed("delta"))
+    town.agent.post(api.CallerLeft(1))
+    town.pass_time(1)
+    assert seen == [api.Listed("delta"), api.TimerDue("a"), api.CallerLeft(1)]
+
+
+def test_a_call_that_the_module_leaves_unanswered_is_answered_and_leaves_its_books(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    town = Town()
+    controller = town.agent.controller
+    handle = controller.handle
+
+    def idle(now: int, events: list[api.Event]) -> list[api.Action]:
+        handle(now, events)
+        return []
+
+    monkeypatch.setattr(controller, "handle", idle)
+    caller = town.caller(invite(X_Timer_Ms="300"))
+    town.pass_time(300)
+    assert caller.statuses() == [500] and controller._home.calls == {}
