--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
 from peattrestle.platform import config as configuration
 from peattrestle.platform.agent import Agent
 from peattrestle.runtime import Coroutine, Lost, Stream
+from peattrestle.runtime.epoll import EpollKernel
 from peattrestle.runtime.virtual import Network, VirtualKernel
 from peattrestle.sip import text as sip
 
@@ -91,7 +93,7 @@
         self.silent = False
         self.dead: list[Stream] = []  # connections that are silent while others are not
         self.where: dict[str, Stream] = {}  # the connection of each set-up
-        self.listener = town.kernel.listen(f"127.0.1.{number}:3868")
+        self.listener = town.kernel.listen(f"127.0.1.{number}:{town.port}")
         self.task = town.kernel.spawn(self.run(), f"exchange {number}")
 
     def run(self) -> Coroutine[None]:
@@ -213,12 +215,17 @@
 
 
 class Town:
+    port = 3868
+
     def __init__(self, seed: int = 1, **more: Any) -> None:
-        self.kernel = VirtualKernel(seed, Network(cut_up=0.3))
+        self.kernel: Any = VirtualKernel(seed, Network(cut_up=0.3))
+        self.open(more)
+
+    def open(self, more: dict[str, Any]) -> None:
         self.logs: list[tuple[str, str]] = []
         self.ended = False
         self.exchanges = {number: Exchange(self, number) for number in (1, 2)}
-        self.feed = Feed(self)
+        self.feed = Feed(self, more.get("feed", "127.0.2.1:9092"))
         config = configuration.read(config_text(**more))
         self.agent = Agent(self.kernel, config, self.log, self.end)
         self.agent.start()
@@ -237,7 +244,7 @@
         caller = Caller(self)
 
         def come() -> Coroutine[None]:
-            caller.stream = yield from self.kernel.connect("127.0.0.1:3868", SECOND)
+            caller.stream = yield from self.kernel.connect(f"127.0.0.1:{self.port}", SECOND)
             self.kernel.spawn(caller.run(), "caller", watch=False)
             caller.says(*data)
 
@@ -826,3 +833,60 @@
     caller = town.caller(invite(X_Timer_Ms="300"))
     town.pass_time(300)
     assert caller.statuses() == [500] and controller._home.calls == {}
+
+
+class RealTown(Town):
+    """The same over real sockets: all of it on one kernel, on a port that is free on loopback."""
+
+    def __init__(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        self.kernel = EpollKernel(1)
+        hosts = [host(f"s{n}", n, dial=f"127.0.1.{n}:{self.port}") for n in range(3)]
+        known = {"n": 1, "events": [event(1, *hosts, whole=True)]}
+        addresses = {"listen": f"127.0.0.1:{self.port}", "feed": f"127.0.2.1:{self.port}"}
+        self.open({"known": known} | addresses)
+
+    def until(self, holds: Callable[[], Any]) -> None:
+        end = self.kernel.now() + 20 * SECOND  # only a hang takes so long
+        while not holds():
+            assert self.kernel.now() < end
+            self.pass_time(10)
+
+
+def test_a_day_over_real_sockets() -> None:
+    town = RealTown()
+    exchange, agent = town.exchanges[1], town.agent
+    town.until(lambda: all(link.up for link in agent.links.values()))
+    first = town.caller(invite("00000000000000aa"))
+    town.until(lambda: first.statuses() == [200])
+    # What can't be used gets its error, each, while the first call stands.
+    bad = [(town.caller(data), status) for data, status in BAD.values()]
+    town.until(lambda: all([m.status for m in one.heard] == [status] for one, status in bad))
+    again = town.caller(invite("00000000000000aa"))
+    town.until(lambda: again.statuses() == [482])
+    # A spoilt line ends both connections' open tries; what stands is released on the next one.
+    exchange.manner = lambda stream, line: stream.write(b"noise\n")
+    lost = town.caller(invite("00000000000000bb", X_Timer_Ms="5000"))
+    town.until(lambda: len(exchange.streams) > 2 and len(lost.statuses()) == 1)
+    exchange.manner = exchange.stands
+    town.until(lambda: agent.links["s1"].up)
+    second = town.caller(invite("00000000000000cc"))
+    town.until(lambda: second.statuses() == [200])
+    exchange.say(exchange.streams[-1], verb="FINISH", tag="00000000000000aa", rc=16)
+    town.until(lambda: first.released() == ["Q.850;cause=16"])
+    # The feed moves, breaks within an event, and tells it whole when asked again.
+    moved = Feed(town, f"127.0.2.2:{town.port}")
+    drains = written(2, host("s1", 1, "DRAINING", dial=f"127.0.1.1:{town.port}"))
+    moved.script = [[drains[:-9]], [drains]]
+    known = {"n": 1, "events": []}
+    agent.reload(configuration.read(config_text(feed=f"127.0.2.2:{town.port}", known=known)))
+    town.until(lambda: agent.members["s1"].state == "draining")
+    assert moved.asked_from == [1, 1]
+    # The exchange dies: what stood there is released.
+    exchange.die()
+    town.until(lambda: second.released() == ["Q.850;cause=41"])
+    agent.stop()
+    town.until(lambda: town.ended)
+    assert agent.calls == {} and agent.guard.refusals == {} and town.kernel.crashes == []
+    town.kernel.close()
