Log each call, close, refusal and change of state by its id, within bounds

Change: platform/log.py with a time on each line and one bound for debug lines, another for all others (a debug flood hides no warning); lines for a call taken, left, refused at the door, answered (kind, delay, tries, cause), released, for each caller's connection that ends and why, exchanges in the list, connections made and refused, the feed's answers, signals. The H.248 front's trace begins with 'call taken' now; its test names that line too and is as strict.

--- a/peattrestle/calls/core.py
+++ b/peattrestle/calls/core.py
@@ -174,6 +174,17 @@
     def take(self, call: C, arrived: api.CallArrived) -> None:
         """A call is the agent's from here on: it gets its final answer, whatever happens."""
         self.calls[call.id] = call
+        if self.tracing:
+            patience = (call.abandon_at - call.arrived) // 1_000_000
+            fields = {"destination": arrived.destination, "in_transit": arrived.transit}
+            self.log(
+                "debug",
+                "call taken",
+                call=call.id,
+                reference=self.named(call),
+                patience_ms=patience,
+                **fields,
+            )
         self.guard.arrived(call.id, call.abandon_at)
         call.overdue = self.kernel.at(call.abandon_at - self.answer_margin // 2, lambda: self.overdue(call))
         self.post(arrived)
@@ -193,6 +204,8 @@
 
     def caller_left(self, call: C) -> None:
         """No answer is owed any more; what is out for the call is given up."""
+        if self.tracing:
+            self.log("debug", "caller left", call=call.id, reference=self.named(call))
         self.post(api.CallerLeft(call.id))
         self._just_left.add(call.id)
         self.leave(call, "cancelled")
@@ -249,6 +262,9 @@
         if isinstance(sent, Unsent):
             self.guard.try_ended(now, call.id, False)
             self.counts.add("unsent")
+            if self.tracing:
+                fields = {"exchange": action.exchange, "result": sent.result}
+                self.log("debug", "set-up not sent", call=call.id, reference=self.named(call), **fields)
             self.post(api.TryEnded(call.id, action.exchange, sent.result, 0, number, False, sent.cause))
             return
         self.counts.add("route_tries")
@@ -322,6 +338,19 @@
             **fields,
         )
 
+    def trace_answer(self, call: C, final: Final) -> None:
+        self.log(
+            "debug",
+            "final answer",
+            call=call.id,
+            reference=self.named(call),
+            answer=final.kind,
+            ms=(self.kernel.now() - call.arrived) // 1_000_000,
+            route_tries=call.tries,
+            cause=call.cause,
+            come_back_ms=final.come_back // 1_000_000,
+        )
+
     def answer_number(self, number: int, final: Final) -> None:
         call = self.calls.get(number)
         if call is not None and call.state == OPEN:
@@ -337,7 +366,7 @@
                 return
         else:
             if self.tracing:
-                self.log("debug", "final answer", call=call.id, reference=self.named(call), answer=final.kind)
+                self.trace_answer(call, final)
             self.reply(call, final)
         if final.kind != STOOD or broken:
             if call.standing is not None:
--- a/peattrestle/platform/__main__.py
+++ b/peattrestle/platform/__main__.py
@@ -7,42 +7,17 @@
 from __future__ import annotations
 
 import gc
-import json
 import os
 import signal
 import sys
 import traceback
-from typing import Any
 
 from peattrestle.feed.sse import BadFeed
 from peattrestle.platform import config as configuration
 from peattrestle.platform.agent import Agent
 from peattrestle.platform.config import BadConfig
+from peattrestle.platform.log import Logger
 from peattrestle.runtime.epoll import EpollKernel
-from peattrestle.runtime.kernel import SECOND
-
-MOST_LINES = 20  # a second; what is more is counted
-
-
-class Logger:
-    """JSON lines on standard error, bounded."""
-
-    def __init__(self, kernel: EpollKernel) -> None:
-        self.kernel = kernel
-        self.second = self.lines = self.dropped = 0
-
-    def __call__(self, level: str, text: str, **fields: Any) -> None:
-        second = self.kernel.now() // SECOND
-        if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        if self.lines > MOST_LINES:
-            self.dropped += 1
-            return
-        if self.dropped:
-            fields["lines_dropped"], self.dropped = self.dropped, 0
-        sys.stderr.write(json.dumps({"level": level, "text": text} | fields, default=str) + "\n")
-        sys.stderr.flush()
 
 
 def main() -> int:
@@ -63,7 +38,9 @@
         log("error", "a coroutine raised", name=name, error=repr(error), where=where)
 
     def signalled(number: int) -> None:
+        log("info", "signal", name=signal.Signals(number).name)
         if number != signal.SIGHUP:
+            log.stopping = True
             agent.stop()
             return
         try:
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -82,6 +82,7 @@
         )
         super().__init__(kernel, Controller(config.seed, settings), guard, log, ANSWER_MARGIN)
         self.config, self.ended = config, ended
+        self.tracing = True
         self.own_number: int = settings["own_number"]
         self.come_back_limit: int = get("come_back_limit", 0)
         self.holding = max(settings[f"holding:{one}"] for one in config.bearer_types)
@@ -172,12 +173,16 @@
             self.guard.told(now, one.exchange, one.state, started)
             before = self.members.get(one.exchange)
             if one.state == GONE:
+                self.log("info", "exchange gone from the list", exchange=one.exchange)
                 self.members.pop(one.exchange, None)
                 self.sizes.pop(one.exchange, None)
                 self.retire(one.exchange)
                 if one.exchange not in self.links:
                     self.guard.exchanges.pop(one.exchange, None)
                 continue
+            if before is None or before.state != one.state:
+                was = "" if before is None else before.state
+                self.log("info", "exchange listed", exchange=one.exchange, state=one.state, before=was)
             self.members[one.exchange] = one
             if before is not None and one.born_ms > before.born_ms:
                 self.started_anew(one.exchange, started)
@@ -226,6 +231,7 @@
                 return
             if len(self.callers) >= self.most_callers() and not self.close_idle():
                 self.counts.add("connections_shed")
+                self.log("warning", "a caller's connection shed", why="at the bound", held=len(self.callers))
                 stream.close()
                 continue
             caller = Caller(stream, self.kernel.now())
@@ -247,12 +253,13 @@
         if caller is None:
             return False
         self.counts.add("connections_closed")
-        self.gone(caller)
+        self.gone(caller, "closed for a new one at the bound")
         caller.stream.close()
         return True
 
     def serve(self, caller: Caller) -> Coroutine[None]:
         stream, reader = caller.stream, caller.reader
+        why = "the caller closed it"
         try:
             while data := (yield from stream.read(16_384)):
                 reader.feed(data)
@@ -266,21 +273,27 @@
                 if caller in self.callers:
                     self.callers.move_to_end(caller)
                 if stream.unsent > MOST_UNREAD:
+                    why = f"it left {stream.unsent} bytes unread"
                     stream.abort()
                     break
                 if len(data) == 16_384:
                     yield from self.kernel.sleep(0)  # one that sends without end leaves others their turn
-        except Lost:
-            pass
+        except Lost as fault:
+            why = str(fault)
         except sip.BadMessage as fault:
+            why = f"bad message: {fault}"
             self.counts.add("bad_messages")
             stream.write(sip.answer(fault.status, {}))
         finally:
-            self.gone(caller)
+            self.gone(caller, why)
             stream.close()
 
-    def gone(self, caller: Caller) -> None:
-        self.callers.pop(caller, None)
+    def gone(self, caller: Caller, why: str) -> None:
+        """Its connection has ended: what is open on it needs no answer any more."""
+        if self.callers.pop(caller, self) is self:
+            return
+        open_calls = list(caller.open)
+        self.log("debug", "a caller's connection ended", why=why, peer=caller.stream.peer, open=open_calls)
         if self.latest is caller:
             self.latest = None
         for call in list(caller.open.values()):
@@ -296,6 +309,7 @@
                 caller.stream.write(sip.answer(481 if call is None else 200, message.fields))
                 if call is not None:
                     self.counts.add("released")
+                    self.log("debug", "released by its caller", reference=message.call_id)
                     call.released = sip.cause_of(message)
                     self.finish(call)
             case "CANCEL":
@@ -317,8 +331,9 @@
         now = self.kernel.now()
         try:
             asked = read_set_up(message, self.config.bearer_types)
-        except BadSetUp:
+        except BadSetUp as fault:
             self.counts.add("bad_set_ups")
+            self.log("debug", "bad set-up", reference=message.call_id[:40], why=str(fault))
             caller.stream.write(sip.answer(400, message.fields))
             return
         if asked.at:
@@ -326,10 +341,12 @@
             return
         if asked.tag in self.tags:
             self.counts.add("bad_set_ups")
+            self.log("debug", "bad set-up", reference=asked.tag, why="its id is open already")
             caller.stream.write(sip.answer(482, message.fields))
             return
         if len(self.calls) >= MOST_CALLS:
             self.counts.add("refused_at_bound")
+            self.log("debug", "call refused", reference=asked.tag, why="at the bound of calls held")
             pause = self.come_back_limit // MS
             caller.stream.write(sip.answer(mapping.REFUSED, message.fields, pause_ms=pause))
             return
@@ -381,6 +398,7 @@
     def over(self, call: SipCall, cause: int) -> None:
         """A standing call has come to its end beyond us: its caller is told."""
         self.counts.add("ended" if cause == lines.NORMAL else "cut")
+        self.log("debug", "call over", reference=call.asked.tag, cause=cause)
         if call.standing is not None:
             self.end_try(call.standing, tell=False)
         self.send_release(call, cause)
@@ -463,6 +481,7 @@
     # Exchanges.
 
     def link_up(self, link: Link) -> None:
+        self.log("info", "connected", exchange=link.exchange, waiting=len(link.waiting))
         waiting, link.waiting = link.waiting, {}
         member = self.members.get(link.exchange)
         for tag, data in waiting.items():
@@ -490,6 +509,7 @@
     def link_refused(self, link: Link, gone: bool) -> None:
         """`gone`: nothing listens there, so the process is gone, and with it the calls that stood; but not
         where it goes on speaking on another connection."""
+        self.log("debug", "connection refused", exchange=link.exchange, nothing_listens=gone)
         self.not_sent(link)
         if gone and not link.up:
             self.lose_all(link.exchange)
@@ -551,7 +571,7 @@
             for caller in [one for one in self.callers if one.late(now)]:
                 self.counts.add("late_callers")
                 caller.stream.write(sip.answer(408, {}))
-                self.gone(caller)
+                self.gone(caller, "a message late to end" if caller.spoken else "no message in time")
                 caller.stream.close()
             for name, link in list(self.links.items()):
                 if link.retired and not link.tries and name not in self.standing:
--- a/peattrestle/platform/follow.py
+++ b/peattrestle/platform/follow.py
@@ -84,8 +84,12 @@
                 self.heard_at = self.kernel.now()
                 http.receive_data(data)
                 while (event := http.next_event()) is not h11.NEED_DATA:
-                    if isinstance(event, h11.Response) and event.status_code != 200:
-                        return f"status {event.status_code}"
+                    if isinstance(event, h11.Response):
+                        if event.status_code != 200:
+                            return f"status {event.status_code}"
+                        self.log(
+                            "info", "the control feed answers", address=self.address, last=self.state.last
+                        )
                     if isinstance(event, h11.Data):
                         for sent in events.feed(bytes(event.data)):
                             change = self.state.take(sent)
--- /dev/null
+++ b/peattrestle/platform/log.py
@@ -0,0 +1,54 @@
+"""The log of the agent in service: one JSON object a line on standard error, bounded by level and second."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any, TextIO
+
+from peattrestle.runtime import Kernel
+from peattrestle.runtime.kernel import SECOND
+
+MAIN_LINES = 40  # a second, of every level above debug
+DEBUG_LINES = 60  # a second, of the life of single calls
+DEBUG_LINES_STOPPING = 600  # a second, during a shutdown, which lasts seconds
+
+
+class Logger:
+    """Writes `at` (Unix seconds), `level`, `text` and the given fields.
+
+    Lines beyond a second's bound are not written; the next line of that kind has their number as
+    `lines_dropped`. `stopping` raises the bound for debug lines.
+    """
+
+    def __init__(self, kernel: Kernel, output: TextIO | None = None) -> None:
+        self.kernel = kernel
+        self.output = output or sys.stderr
+        self.stopping = False
+        self._second = 0
+        self._written = {True: 0, False: 0}
+        self._dropped = {True: 0, False: 0}
+
+    def __call__(self, level: str, text: str, **fields: Any) -> None:
+        debug = level == "debug"
+        if not self._admits(debug):
+            self._dropped[debug] += 1
+            return
+        if self._dropped[debug]:
+            fields["lines_dropped"], self._dropped[debug] = self._dropped[debug], 0
+        at = round(self.kernel.wall() / SECOND, 3)
+        entry = {"at": at, "level": level, "text": text} | fields
+        self.output.write(json.dumps(entry, default=str) + "\n")
+        self.output.flush()
+
+    def _admits(self, debug: bool) -> bool:
+        second = self.kernel.now() // SECOND
+        if second != self._second:
+            self._second, self._written = second, {True: 0, False: 0}
+        self._written[debug] += 1
+        return self._written[debug] <= self._bound(debug)
+
+    def _bound(self, debug: bool) -> int:
+        if not debug:
+            return MAIN_LINES
+        return DEBUG_LINES_STOPPING if self.stopping else DEBUG_LINES
--- a/tests/agent/test_bounds.py
+++ b/tests/agent/test_bounds.py
@@ -180,9 +180,9 @@
 
     town.run(body())
     lines = [(text, fields) for level, text, fields in town.logs if level == "debug"]
-    assert [text for text, _ in lines][:3] == ["set-up", "stands", "final answer"]
-    assert lines[0][1]["exchange"] == "x1" and lines[0][1]["route_try"] == 0
-    assert {fields["reference"] for _, fields in lines[:3]} == {"g0/1"}
+    assert [text for text, _ in lines][:4] == ["call taken", "set-up", "stands", "final answer"]
+    assert lines[1][1]["exchange"] == "x1" and lines[1][1]["route_try"] == 0
+    assert {fields["reference"] for _, fields in lines[:4]} == {"g0/1"}
 
 
 @pytest.mark.parametrize("side", ["exchange", "gateway"])
