--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -17,8 +17,8 @@
     for number in range(log.DEBUG_LINES + 5):
         logger("debug", "final answer", reference=f"{number:016x}")
     logger("warning", "connection lost")
-    kernel.at(SECOND, lambda: None)
-    kernel.run(SECOND)
+    kernel.at(kernel.now() + SECOND, lambda: None)
+    kernel.run(kernel.now() + SECOND)
     logger("debug", "final answer")
     written = [json.loads(line) for line in output.getvalue().splitlines()]
     assert len(written) == log.DEBUG_LINES + 2
