A caller's connection ends only when the calls open on it have their answers

What callers saw: a connection on which a message could not be read, or came to no end in 1.5 s, was closed at once with the calls open on it taken back: they were lost, and 408 or 400 was all that came. Change: platform/connections.py.

--- a/peattrestle/calls/core.py
+++ b/peattrestle/calls/core.py
@@ -194,9 +194,13 @@
         if call.state == OPEN:
             self.counts.add("overdue")
             self.log("error", "the module left a call unanswered", call=call.id, reference=self.named(call))
-            self.leave(call, "timeout")
-            self.post(api.CallerLeft(call.id))
-            self.answer(call, Final(FAILED, own_fault=True))
+            self.give_up(call, own_fault=True)
+
+    def give_up(self, call: C, own_fault: bool = False) -> None:
+        """Answers an open call as failed; what is out for it is given up, and the module told."""
+        self.leave(call, "timeout")
+        self.post(api.CallerLeft(call.id))
+        self.answer(call, Final(FAILED, own_fault=own_fault))
 
     def named(self, call: C) -> str:
         """The asker's own name of the call, for the log."""
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -18,17 +18,12 @@
 from peattrestle.exchangeline import lines
 from peattrestle.feed.state import GONE, READY, Change, Member, State
 from peattrestle.platform import mapping
-from peattrestle.platform.callers import (
-    MOST_UNREAD,
-    Asked,
-    BadSetUp,
-    Caller,
-    read_set_up,
-)
+from peattrestle.platform.callers import Asked, BadSetUp, read_set_up
 from peattrestle.platform.config import Config
+from peattrestle.platform.connections import Caller, CallerConnections
 from peattrestle.platform.follow import Follower
 from peattrestle.platform.link import LANES, Lane, Link
-from peattrestle.runtime import Coroutine, Kernel, Listener, Lost
+from peattrestle.runtime import Coroutine, Kernel
 from peattrestle.sip import text as sip
 
 MS = 1_000_000
@@ -38,7 +33,6 @@
 UNREACHED = 6000 * MS  # calls that stand at an exchange without a sign of life for so long are released
 LAST_CALLS = 1000 * MS  # after SIGTERM callers' set-ups still come for a while
 KILLED_AFTER = 3000 * MS  # by the platform, where no abandon time is longer
-JUST_COME = 250 * MS
 OWN_SOCKETS = 16  # listener, feed, signals, what is being dialled or closed, standard streams
 MOST_CALLS = 8_000
 MOST_OWED = 2_000
@@ -93,7 +87,7 @@
         self.members: dict[str, Member] = {}
         self.links: dict[str, Link] = {}
         self.sizes: dict[str, float] = {}
-        self.callers: OrderedDict[Caller, None] = OrderedDict()
+        self.connections = CallerConnections(kernel, self, self.counts, log, self.most_callers)
         self.latest: Caller | None = None
         self.owed_releases: deque[tuple[int, bytes]] = deque()
         self.owed_finishes: dict[str, deque[bytes]] = {}
@@ -101,18 +95,16 @@
         self.ready = False
         self.stopping_at = 0
         self.state = State()
-        self.listener: Listener | None = None
         self.follower: Follower | None = None
 
     # Start, new configuration, stop.
 
     def start(self) -> None:
         """Raises OSError where it can't listen."""
-        self.listener = self.kernel.listen(self.config.listen)
+        self.connections.listen(self.config.listen)
         for change in self.state.known(self.config.known):
             self.told(change)
         self.follower = Follower(self.kernel, self.state, self.config.feed, self.told, self.log)
-        self.kernel.spawn(self.accept(self.listener), "callers")
         self.kernel.spawn(self.settle(), "settle")
         self.kernel.spawn(self.sweep(), "sweep")
 
@@ -150,8 +142,7 @@
                 if closed:
                     break
                 closed = True
-                if self.listener is not None:
-                    self.listener.close()
+                self.connections.stop_listening()
             yield from self.kernel.sleep(10 * MS)
         self.log("info", "ended", **self.counts.values)
         self.ended()
@@ -223,77 +214,13 @@
 
     # Callers.
 
-    def accept(self, listener: Listener) -> Coroutine[None]:
-        while True:
-            try:
-                stream = yield from listener.accept()
-            except Lost:
-                return
-            if len(self.callers) >= self.most_callers() and not self.close_idle():
-                self.counts.add("connections_shed")
-                self.log("warning", "a caller's connection shed", why="at the bound", held=len(self.callers))
-                stream.close()
-                continue
-            caller = Caller(stream, self.kernel.now())
-            self.callers[caller] = None
-            self.kernel.spawn(self.serve(caller), "caller")
-
     def most_callers(self) -> int:
         """Two thirds of the descriptors, or what the exchanges leave; a third in any case."""
         sockets = self.config.sockets
         return max(sockets // 3, min(sockets * 2 // 3, sockets - OWN_SOCKETS - LANES * len(self.links)))
 
-    def close_idle(self) -> bool:
-        """Closes the connection longest without a word on which no call awaits its answer: first one that
-        never spoke, unless it has only just come."""
-        new = self.kernel.now() - JUST_COME
-        idle = [caller for caller in self.callers if not caller.open]
-        unspoken = (caller for caller in idle if not caller.spoken and caller.came_at < new)
-        caller = next(unspoken, idle[0] if idle else None)
-        if caller is None:
-            return False
-        self.counts.add("connections_closed")
-        self.gone(caller, "closed for a new one at the bound")
-        caller.stream.close()
-        return True
-
-    def serve(self, caller: Caller) -> Coroutine[None]:
-        stream, reader = caller.stream, caller.reader
-        why = "the caller closed it"
-        try:
-            while data := (yield from stream.read(16_384)):
-                reader.feed(data)
-                while (message := reader.next()) is not None:
-                    caller.spoken, caller.unfinished_at = True, 0
-                    self.heard(caller, message)
-                if not reader.partial:
-                    caller.unfinished_at = 0
-                elif not caller.unfinished_at:
-                    caller.unfinished_at = self.kernel.now()
-                if caller in self.callers:
-                    self.callers.move_to_end(caller)
-                if stream.unsent > MOST_UNREAD:
-                    why = f"it left {stream.unsent} bytes unread"
-                    stream.abort()
-                    break
-                if len(data) == 16_384:
-                    yield from self.kernel.sleep(0)  # one that sends without end leaves others their turn
-        except Lost as fault:
-            why = str(fault)
-        except sip.BadMessage as fault:
-            why = f"bad message: {fault}"
-            self.counts.add("bad_messages")
-            stream.write(sip.answer(fault.status, {}))
-        finally:
-            self.gone(caller, why)
-            stream.close()
-
-    def gone(self, caller: Caller, why: str) -> None:
-        """Its connection has ended: what is open on it needs no answer any more."""
-        if self.callers.pop(caller, self) is self:
-            return
-        open_calls = list(caller.open)
-        self.log("debug", "a caller's connection ended", why=why, peer=caller.stream.peer, open=open_calls)
+    def connection_ended(self, caller: Caller) -> None:
+        """What is open on it needs no answer any more."""
         if self.latest is caller:
             self.latest = None
         for call in list(caller.open.values()):
@@ -379,7 +306,7 @@
         """A call that stands since before this agent started: only its release is to be passed on."""
         known = self.tags.get(asked.tag)
         if known is not None:
-            if known.state == STANDS and known.caller not in self.callers:
+            if known.state == STANDS and known.caller not in self.connections.held:
                 known.caller = caller  # its own connection is gone: from here on this one is
             return
         if len(self.calls) >= MOST_CALLS:
@@ -408,7 +335,7 @@
         """On its own connection, else on the last one on which a call stood, else on the next such one: who
         only sends what can't be used is no way to the callers."""
         data = sip.bye(call.asked.tag, call.asked.number, self.config.name, cause)
-        caller = call.caller if call.caller in self.callers else self.latest
+        caller = call.caller if call.caller in self.connections.held else self.latest
         if caller is not None:
             caller.stream.write(data)
             return
@@ -458,9 +385,10 @@
             data = sip.answer(mapping.OWN_FAULT if final.own_fault else mapping.FAILED, call.fields)
         caller.stream.write(data)
         caller.open.pop(call.asked.tag, None)
-        if final.kind == STOOD and caller in self.callers:
+        if final.kind == STOOD and caller in self.connections.held:
             self.latest = caller
             self.pay(caller)
+        self.connections.close_if_done(caller)
         call.fields, call.description = {}, ""
 
     def misanswered(self, call: SipCall) -> bool:
@@ -473,6 +401,7 @@
             del self.tags[tag]
         if call.caller is not None:
             call.caller.open.pop(tag, None)
+            self.connections.close_if_done(call.caller)
         call.standing = call.out = call.caller = None  # no cycles are left behind
 
     def named(self, call: SipCall) -> str:
@@ -568,11 +497,7 @@
         while True:
             yield from self.kernel.sleep(SWEEP)
             now = self.kernel.now()
-            for caller in [one for one in self.callers if one.late(now)]:
-                self.counts.add("late_callers")
-                caller.stream.write(sip.answer(408, {}))
-                self.gone(caller, "a message late to end" if caller.spoken else "no message in time")
-                caller.stream.close()
+            self.connections.end_late(now)
             for name, link in list(self.links.items()):
                 if link.retired and not link.tries and name not in self.standing:
                     link.close()
--- a/peattrestle/platform/callers.py
+++ b/peattrestle/platform/callers.py
@@ -1,25 +1,16 @@
-"""Callers' connections: what each holds, which are closed when, and what a set-up must look like.
+"""What a caller's set-up must look like: its fields checked, within bounds.
 
-A caller is anybody who connects. A message that can't be framed ends its connection, one that can be framed
-and not used gets an error; neither harms another call.
+A set-up that can be framed and not used gets an error, and harms no other call.
 """
 
 from __future__ import annotations
 
 import re
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-from peattrestle.runtime import Stream
 from peattrestle.sip import text as sip
 
-if TYPE_CHECKING:
-    from peattrestle.platform.agent import SipCall
-
 MS = 1_000_000
-UNFINISHED = 1500 * MS  # a message begun and not ended in this time
-UNSPOKEN = 2000 * MS  # a connection without a whole message in this time
-MOST_UNREAD = 131_072
 MOST_TIMER = 600_000
 MOST_WIDTH = 1_000
 
@@ -32,24 +23,6 @@
     """A set-up that can't be used; the text names field and fault."""
 
 
-class Caller:
-    """One connection; `open` are the calls on it that await their answer."""
-
-    __slots__ = ("stream", "reader", "open", "came_at", "unfinished_at", "spoken")
-
-    def __init__(self, stream: Stream, now: int) -> None:
-        self.stream, self.reader = stream, sip.Reader()
-        self.open: dict[str, SipCall] = {}
-        self.came_at, self.unfinished_at = now, 0
-        self.spoken = False  # a whole message has come
-
-    def late(self, now: int) -> bool:
-        """It owes the rest of a message, or a first one, for too long."""
-        if self.unfinished_at:
-            return now - self.unfinished_at > UNFINISHED
-        return not self.spoken and now - self.came_at > UNSPOKEN
-
-
 @dataclass(slots=True, frozen=True)
 class Asked:
     """A set-up as a caller has sent it; `patience` in nanoseconds; `at`: where it stands already."""
--- a/peattrestle/runtime/epoll.py
+++ b/peattrestle/runtime/epoll.py
@@ -237,6 +237,17 @@
             else:
                 return self.kernel.adopt(sock, f"{host}:{port}")
 
+    def close_and_take(self) -> list[Stream]:
+        taken: list[Stream] = []
+        while self.handle.fd >= 0:
+            try:
+                sock, (host, port) = self.handle.sock.accept()
+            except OSError:
+                break
+            taken.append(self.kernel.adopt(sock, f"{host}:{port}"))
+        self.close()
+        return taken
+
     def _shed_one(self) -> None:
         if self._spare >= 0:
             os.close(self._spare)
--- a/peattrestle/runtime/kernel.py
+++ b/peattrestle/runtime/kernel.py
@@ -278,6 +278,10 @@
     def close(self) -> None:
         raise NotImplementedError
 
+    def close_and_take(self) -> list[Stream]:
+        """Closes the port and returns the connections that waited to be accepted."""
+        raise NotImplementedError
+
 
 class Kernel:
     """Runs tasks and timers. Clock, chance and connections come from here and from nowhere else.
--- a/peattrestle/runtime/virtual.py
+++ b/peattrestle/runtime/virtual.py
@@ -230,6 +230,14 @@
         for stream in self.line:
             stream.abort()
 
+    def close_and_take(self) -> list[Stream]:
+        taken: list[Stream] = list(self.line)
+        for stream in self.line:
+            self.adopt(stream)
+        self.line.clear()
+        self.close()
+        return taken
+
 
 class VirtualKernel(Kernel):
     def __init__(self, seed: int, network: Network | None = None) -> None:
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -554,10 +554,10 @@
 
         town.kernel.spawn(come(), "one of a crowd", watch=False)
     town.pass_time(50)
-    assert len(town.agent.callers) <= 64
+    assert len(town.agent.connections.held) <= 64
     assert town.caller(invite()).statuses() == [200]
     town.pass_time(2500)
-    assert all(one.closed_at for one in crowd) and len(town.agent.callers) == 1
+    assert all(one.closed_at for one in crowd) and len(town.agent.connections.held) == 1
 
 
 def test_a_caller_who_leaves_takes_its_open_call_back() -> None:
@@ -668,7 +668,7 @@
         caller.stream.close()
     town.pass_time(1000)
     town.at_rest()
-    assert not town.agent.callers and not town.agent.owed_releases
+    assert not town.agent.connections.held and not town.agent.owed_releases
     assert not town.agent.ended_at
 
 
