A shutdown has an end before the kill: calls are bounded by it, late ones refused at once

What callers saw: set-ups accepted late in a shutdown were forwarded and had no answer when the process was killed (rule lost). Cause: Agent.finish_up in platform/agent.py ended when nothing was open and max(3 s, longest deadline) had passed. The kill comes min(longest deadline, 3 s) plus 0.7 s after SIGTERM; calls taken meanwhile kept their whole time, so with callers who go on sending something was nearly always open. Class: work accepted with a deadline beyond that of the one who does it. A call's abandon time ends with the shutdown. It ends early only when nothing is held and no set-up has come for 0.5 s. Why it works: nothing is taken that the shutdown's own end cannot answer, and that end lies before the kill.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -23,6 +23,8 @@
 from peattrestle.platform.connections import Caller, CallerConnections
 from peattrestle.platform.follow import Follower
 from peattrestle.platform.link import LANES, Lane, Link
+from peattrestle.platform.shutdown import carry_out
+from peattrestle.policy.shutdown import ShutdownPlan, pause
 from peattrestle.runtime import Coroutine, Kernel
 from peattrestle.sip import text as sip
 
@@ -31,8 +33,6 @@
 SETTLE = 700 * MS  # the readiness test waits no longer for the exchanges' first words
 SWEEP = 100 * MS
 UNREACHED = 6000 * MS  # calls that stand at an exchange without a sign of life for so long are released
-LAST_CALLS = 1000 * MS  # after SIGTERM callers' set-ups still come for a while
-KILLED_AFTER = 3000 * MS  # by the platform, where no abandon time is longer
 OWN_SOCKETS = 16  # listener, feed, signals, what is being dialled or closed, standard streams
 MOST_CALLS = 8_000
 MOST_OWED = 2_000
@@ -93,7 +93,9 @@
         self.owed_finishes: dict[str, deque[bytes]] = {}
         self.ended_at: OrderedDict[tuple[str, str], int] = OrderedDict()
         self.ready = False
-        self.stopping_at = 0
+        self.shutdown: ShutdownPlan | None = None
+        self.refusing = False  # every set-up, in the last moments of a shutdown
+        self.last_set_up_at = 0
         self.state = State()
         self.follower: Follower | None = None
 
@@ -126,26 +128,43 @@
         self.log("info", "configuration read again", feed=config.feed)
 
     def stop(self) -> None:
-        """No test passes any more; ends when callers have stopped coming and nothing is held. What stands is
-        released by the next run too, so it is waited for only while the platform waits."""
-        if not self.stopping_at:
-            self.stopping_at = self.kernel.now()
-            self.log("info", "stopping", calls=len(self.calls))
-            self.kernel.spawn(self.finish_up(), "stop")
-
-    def finish_up(self) -> Coroutine[None]:
-        yield from self.kernel.sleep(LAST_CALLS)
-        closed, last = False, self.stopping_at + max(KILLED_AFTER, self.abandon_time)
-        while True:
-            held = [one for one in self.calls.values() if one.state == OPEN or self.kernel.now() < last]
-            if not held:
-                if closed:
-                    break
-                closed = True
-                self.connections.stop_listening()
-            yield from self.kernel.sleep(10 * MS)
-        self.log("info", "ended", **self.counts.values)
-        self.ended()
+        """No test passes any more; ends when its shutdown plan says so, at the latest before the platform
+        may kill it."""
+        if self.shutdown is not None:
+            return
+        self.shutdown = ShutdownPlan.begin(self.kernel.now(), self.abandon_time)
+        length = (self.shutdown.close_at - self.shutdown.began_at) // MS
+        self.log("info", "stopping", calls=len(self.calls), ends_within_ms=length)
+        self.kernel.spawn(carry_out(self, self.shutdown), "shutdown")
+
+    def answer_all_open(self, why: str) -> None:
+        """Gives up on every call that still awaits its answer; its caller is told so."""
+        for call in [one for one in self.calls.values() if one.state == OPEN]:
+            self.counts.add("given_up")
+            self.log("info", "call given up", reference=call.asked.tag, why=why)
+            self.give_up(call)
+
+    def refuses(self, asked: Asked, now: int) -> str:
+        """Why a set-up that comes now is refused at once; '' where it is taken."""
+        if len(self.calls) >= MOST_CALLS:
+            return "at the bound of calls held"
+        plan = self.shutdown
+        target = self.config.settings[f"gos_target:{asked.bearer_type}"]
+        if plan is not None and (self.refusing or not plan.takes(now, asked.patience, target)):
+            return "too late in a shutdown"
+        return ""
+
+    def refuse(self, caller: Caller, asked: Asked, fields: dict[str, str], why: str) -> None:
+        get = self.config.settings.get
+        target = get(f"gos_target:{asked.bearer_type}", 0)
+        if self.shutdown is None:
+            come_back = self.come_back_limit
+        else:
+            allowed = get("come_back", False)
+            come_back = pause(target, self.come_back_limit, allowed, asked.transit)
+        self.counts.add("refused_at_bound" if self.shutdown is None else "refused_in_shutdown")
+        self.log("debug", "call refused", reference=asked.tag, why=why)
+        caller.stream.write(sip.answer(mapping.REFUSED, fields, pause_ms=come_back // MS))
 
     # The list.
 
@@ -247,7 +266,7 @@
                     call.caller.stream.write(sip.answer(487, call.fields))
                     self.caller_left(call)
             case "OPTIONS":
-                passed = self.ready and not self.stopping_at
+                passed = self.ready and self.shutdown is None
                 caller.stream.write(sip.answer(200 if passed else 503, message.fields))
             case "ACK" | "NOTIFY" | "":
                 pass
@@ -255,7 +274,7 @@
                 caller.stream.write(sip.answer(501, message.fields))
 
     def asked(self, caller: Caller, message: sip.Message) -> None:
-        now = self.kernel.now()
+        now = self.last_set_up_at = self.kernel.now()
         try:
             asked = read_set_up(message, self.config.bearer_types)
         except BadSetUp as fault:
@@ -271,17 +290,18 @@
             self.log("debug", "bad set-up", reference=asked.tag, why="its id is open already")
             caller.stream.write(sip.answer(482, message.fields))
             return
-        if len(self.calls) >= MOST_CALLS:
-            self.counts.add("refused_at_bound")
-            self.log("debug", "call refused", reference=asked.tag, why="at the bound of calls held")
-            pause = self.come_back_limit // MS
-            caller.stream.write(sip.answer(mapping.REFUSED, message.fields, pause_ms=pause))
+        why = self.refuses(asked, now)
+        if why:
+            self.refuse(caller, asked, message.fields, why)
             return
+        abandon_at = now + asked.patience
+        if self.shutdown is not None:
+            abandon_at = self.shutdown.abandon_at(abandon_at)
         self.counts.add("transit_taken" if asked.transit else "taken")
         call = SipCall(
             self.next_id(),
             now,
-            now + asked.patience,
+            abandon_at,
             asked=asked,
             caller=caller,
             fields=message.fields,
--- /dev/null
+++ b/peattrestle/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the call agent that stand apart from routing; pure, without I/O or clock."""
--- /dev/null
+++ b/tests/policy/test_shutdown.py
@@ -0,0 +1,46 @@
+"""The shutdown plan: its times come from the platform's pages, whatever the deadlines are."""
+
+from __future__ import annotations
+
+import pytest
+
+from peattrestle.policy.shutdown import ShutdownPlan, pause
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+CROSSING = 50 * MS
+
+
+@pytest.mark.parametrize(
+    ("deadline", "earliest_kill"),
+    [(100, 800), (300, 1_000), (1_000, 1_700), (3_000, 3_700), (60_000, 3_700), (0, 3_700)],
+)
+def test_all_is_answered_and_closed_before_the_earliest_kill(deadline: int, earliest_kill: int) -> None:
+    plan = ShutdownPlan.begin(SECOND, deadline * MS)
+    assert SECOND < plan.answer_by < plan.close_at <= SECOND + earliest_kill * MS - CROSSING
+    assert plan.abandon_at(SECOND + 70_000 * MS) == plan.answer_by
+    assert plan.abandon_at(SECOND + 1) == SECOND + 1
+    assert plan.may_end(plan.close_at, plan.close_at, held=5)
+
+
+def test_a_call_is_taken_as_long_as_it_can_stand_within_its_target() -> None:
+    plan = ShutdownPlan.begin(0, 1_000 * MS)
+    target, patience = 400 * MS, 900 * MS
+    assert plan.takes(plan.answer_by - target, patience, target)
+    assert not plan.takes(plan.answer_by - target + 1, patience, target)
+    assert plan.takes(plan.answer_by - 100 * MS, 100 * MS, target)
+
+
+def test_it_ends_early_only_when_nothing_is_held_and_nobody_calls() -> None:
+    plan = ShutdownPlan.begin(0, 3_000 * MS)
+    assert plan.may_end(SECOND, 400 * MS, held=0)
+    assert not plan.may_end(SECOND, 400 * MS, held=1)
+    assert not plan.may_end(SECOND, 600 * MS, held=0)
+    assert not plan.may_end(900 * MS, 0, held=0)
+
+
+def test_the_advice_to_come_back_keeps_to_the_settings() -> None:
+    assert pause(300 * MS, 2 * SECOND, allowed=True, in_transit=False) == 100 * MS
+    assert pause(300 * MS, 50 * MS, allowed=True, in_transit=False) == 50 * MS
+    assert pause(300 * MS, 2 * SECOND, allowed=False, in_transit=False) == 0
+    assert pause(300 * MS, 2 * SECOND, allowed=True, in_transit=True) == 0
