An exchange whose address is taken over is gone, with all that stood there

What callers saw: calls that stood at a dead exchange were never released when another took its address at once. Cause: Agent.retire in platform/agent.py cuts what stands only where no connection is up. The link of the dead exchange had connected again, to the new one at the same address, so it was up, and its signs of life were the other's. Change: when the list gives an address to another exchange, the old link is dropped, tries there end as reset, calls are cut.

--- a/peattrestle/platform/__main__.py
+++ b/peattrestle/platform/__main__.py
@@ -1,6 +1,6 @@
 """python -m peattrestle.platform: one call agent as the platform starts it.
 
-`LB_CONFIG` names its configuration. SIGHUP reads it again, SIGTERM and SIGINT end the agent in good order.
+`LB_CONFIG` names its configuration; `PEATTRESTLE_DEBUG_LINES` bounds the debug lines of a second.
 Exit codes: 0 ended as asked, 2 the configuration can't be used, 3 it could not listen.
 """
 
@@ -16,10 +16,16 @@
 from peattrestle.platform import config as configuration
 from peattrestle.platform.agent import Agent
 from peattrestle.platform.config import BadConfig
-from peattrestle.platform.log import Logger
+from peattrestle.platform.log import DEBUG_LINES, Logger
 from peattrestle.runtime.epoll import EpollKernel
 
 
+def debug_lines() -> int:
+    """The bound that the environment sets, the usual one where it sets none."""
+    text = os.environ.get("PEATTRESTLE_DEBUG_LINES", "")
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 7 else DEBUG_LINES
+
+
 def main() -> int:
     path = os.environ.get("LB_CONFIG", "")
     try:
@@ -30,7 +36,7 @@
         print(f"peattrestle: {fault}", file=sys.stderr)
         return 2
     kernel = EpollKernel(config.seed)
-    log = Logger(kernel)
+    log = Logger(kernel, debug_lines=debug_lines())
     agent = Agent(kernel, config, log, kernel.stop)
 
     def crashed(name: str, error: BaseException) -> None:
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -202,9 +202,9 @@
 
     def link_to(self, member: Member) -> None:
         """It is new, back, or has moved: its address is its own from now on."""
-        for name, other in self.links.items():
+        for name, other in list(self.links.items()):
             if name != member.exchange and other.address == member.address:
-                self.retire(name)  # the address is another's now
+                self.taken_over(other)
         link = self.links.get(member.exchange)
         if link is None:
             self.links[member.exchange] = Link(
@@ -213,6 +213,16 @@
         else:
             link.revive(member.address)
 
+    def taken_over(self, link: Link) -> None:
+        """Another exchange listens at its address, so its process is gone and all that it held: what its
+        connections reach by now is the other one."""
+        link.retired = True
+        self.drop_link(link)
+        for one in list(link.tries.values()):
+            waited = one.lane is None
+            self.try_over(one, "connect_failed" if waited else "reset", tell=False, cut_off=not waited)
+        self.lose_all(link.exchange)
+
     def retire(self, exchange: str) -> None:
         """Its link is made no more; it stays while calls are out or stand there."""
         link = self.links.get(exchange)
@@ -221,6 +231,13 @@
             if not link.up:
                 self.lose_all(exchange)
 
+    def drop_link(self, link: Link) -> None:
+        link.close()
+        del self.links[link.exchange]
+        self.owed_finishes.pop(link.exchange, None)
+        if link.exchange not in self.members:
+            self.guard.exchanges.pop(link.exchange, None)
+
     def started_anew(self, exchange: str, started_at: int) -> None:
         """What stood there before the start is gone."""
         for call in list(self.standing.get(exchange, {}).values()):
@@ -520,11 +537,7 @@
             self.connections.end_late(now)
             for name, link in list(self.links.items()):
                 if link.retired and not link.tries and name not in self.standing:
-                    link.close()
-                    del self.links[name]
-                    self.owed_finishes.pop(name, None)
-                    if name not in self.members:
-                        self.guard.exchanges.pop(name, None)
+                    self.drop_link(link)
                 elif now - link.alive_at > UNREACHED:
                     self.lose_all(name)
             while self.owed_releases and self.owed_releases[0][0] < now - ENDED_KEPT:
--- a/peattrestle/platform/log.py
+++ b/peattrestle/platform/log.py
@@ -21,8 +21,8 @@
     `lines_dropped`. `stopping` raises the bound for debug lines.
     """
 
-    def __init__(self, kernel: Kernel, output: TextIO | None = None) -> None:
-        self.kernel = kernel
+    def __init__(self, kernel: Kernel, output: TextIO | None = None, debug_lines: int = DEBUG_LINES) -> None:
+        self.kernel, self.debug_lines = kernel, debug_lines
         self.output = output or sys.stderr
         self.stopping = False
         self._second = 0
@@ -51,4 +51,4 @@
     def _bound(self, debug: bool) -> int:
         if not debug:
             return MAIN_LINES
-        return DEBUG_LINES_STOPPING if self.stopping else DEBUG_LINES
+        return max(self.debug_lines, DEBUG_LINES_STOPPING) if self.stopping else self.debug_lines
