Drawn trials: restarts in series among hangs, outages, replaced exchanges and bad callers

Cause: one reproduction covers one case; the users combine shutdowns, discovery, bad peers and cuts. Each agent reaches exchanges and feed at addresses of its own, as on the platform. Faults of the stand-ins found by the first plays are mended in it: writes into a message in pieces, a release said to another agent, kills of an agent already started anew.

--- a/peattrestle/trials/caller.py
+++ b/peattrestle/trials/caller.py
@@ -88,7 +88,7 @@
 
     def write_in_pieces(self, data: bytes, request: Request) -> Coroutine[None]:
         """Slow writers: the last byte follows the first one after up to 0.2 s."""
-        chance, self.writing = self.group.chance, True
+        chance = self.group.chance
         cuts = sorted(chance.sample(range(1, len(data)), 3))
         for start, end in zip([0, *cuts], [*cuts, len(data)], strict=True):
             self.stream.write(data[start:end])
@@ -130,6 +130,7 @@
             if len(usable) < self.habits.connections and self.dialling:
                 self.kernel.spawn(self.dial(), "caller dials")
             for _ in range(self.habits.at_once):
+                usable = [one for one in usable if one.usable]
                 if usable:
                     self.ask(self.chance.choice(usable))
 
@@ -156,6 +157,7 @@
         destination = self.chance.choice(others)
         data = invite(call_id, "7f3a", patience // MS, destination, f"{call_id}\r\nc=IN IP4 10.4.7.9\r\n")
         if self.chance.random() < self.habits.pieces:
+            driver.writing = True
             self.kernel.spawn(driver.write_in_pieces(data, request), "slow writer")
         else:
             driver.stream.write(data)
--- a/peattrestle/trials/deployment.py
+++ b/peattrestle/trials/deployment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +14,7 @@
 KILL_DELAY = 700 * MS
 FALL_WINDOW = 1_000 * MS
 COLD_TIME = 14_000 * MS
+FIRST_EXCHANGE_NET, FIRST_FEED_NET = 100, 200
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,7 +31,7 @@
     dial_timeout: int = 500 * MS
     sockets: int = 256
     network: int = 10
-    ports: tuple[int, ...] = field(default=(3868,))
+    port: int = 3868
 
     @property
     def kill_after(self) -> int:
@@ -38,13 +39,14 @@
         return min(self.deadline, LONGEST_DEADLINE_COUNTED) + KILL_DELAY
 
     def agent_address(self, agent: int) -> str:
-        return f"127.{self.network}.0.{agent + 1}:{self.ports[0]}"
+        return f"127.{self.network}.0.{agent + 1}:{self.port}"
 
-    def exchange_address(self, number: int) -> str:
-        return f"127.{self.network}.1.{number + 1}:{self.ports[0]}"
+    def exchange_address(self, number: int, agent: int) -> str:
+        """Each agent reaches every party at an address that is its own alone (BENCH.md)."""
+        return f"127.{self.network}.{FIRST_EXCHANGE_NET + agent}.{number + 1}:{self.port}"
 
-    def feed_address(self, place: int = 0) -> str:
-        return f"127.{self.network}.2.{place + 1}:{self.ports[0]}"
+    def feed_address(self, place: int, agent: int) -> str:
+        return f"127.{self.network}.{FIRST_FEED_NET + agent}.{place + 1}:{self.port}"
 
     def settings(self, own_number: int) -> dict[str, Any]:
         """The settings as the platform writes them; times in microseconds."""
--- a/peattrestle/trials/exchange.py
+++ b/peattrestle/trials/exchange.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from peattrestle.exchangeline import lines
-from peattrestle.runtime import Coroutine, Kernel, Lost, Stream
+from peattrestle.runtime import Coroutine, Kernel, Listener, Lost, Stream
 from peattrestle.trials.record import Attempt, AttemptEnd, Record
 
 MS = 1_000_000
@@ -33,43 +33,49 @@
 
 
 class StandInExchange:
-    """`silent`: it goes on accepting and reading nothing, as a process that hangs does."""
+    """`silent`: it accepts and says nothing, as a process that hangs; what it is sent is still recorded."""
 
     def __init__(
-        self, kernel: Kernel, record: Record, name: str, address: str, chance: random.Random, holding: int
+        self,
+        kernel: Kernel,
+        record: Record,
+        name: str,
+        addresses: list[str],
+        chance: random.Random,
+        holding: int,
     ) -> None:
-        self.kernel, self.record, self.name, self.address = kernel, record, name, address
+        self.kernel, self.record, self.name = kernel, record, name
         self.chance, self.holding = chance, holding
         self.manners: dict[Manner, float] = {}
         self.delay = (2 * MS, 60 * MS)
         self.silent = False
         self.alive = True
-        self.streams: list[Stream] = []
+        self.streams: dict[Stream, int] = {}  # and the agent that made it
         self.standing: dict[str, tuple[Attempt, Stream]] = {}
         self.out: dict[tuple[Stream, str], Attempt] = {}
-        self.owed: list[bytes] = []
-        self.listener = kernel.listen(address)
-        self.acceptor = kernel.spawn(self.accept(), f"exchange {name}")
+        self.owed: dict[int, list[tuple[Attempt, bytes]]] = {}
+        self.listeners = [kernel.listen(address) for address in addresses]
+        for agent, listener in enumerate(self.listeners):
+            kernel.spawn(self.accept(listener, agent), f"exchange {name}")
 
-    def accept(self) -> Coroutine[None]:
+    def accept(self, listener: Listener, agent: int) -> Coroutine[None]:
         while True:
             try:
-                stream = yield from self.listener.accept()
+                stream = yield from listener.accept()
             except Lost:
                 return
-            self.streams.append(stream)
+            self.streams[stream] = agent
             self.kernel.spawn(self.serve(stream), f"connection of exchange {self.name}")
 
     def serve(self, stream: Stream) -> Coroutine[None]:
         reader = lines.Reader()
         reporter = self.kernel.spawn(self.report(stream), "reports")
+        self.kernel.spawn(self.send_owed(stream), "releases once more")
         try:
             while True:
                 data = yield from stream.read()
                 if not data:
                     break
-                while self.silent and self.alive:
-                    yield from self.kernel.sleep(20 * MS)
                 reader.feed(data)
                 while (line := reader.next()) is not None:
                     self.heard(stream, line)
@@ -82,8 +88,7 @@
             self.lost(stream)
 
     def lost(self, stream: Stream) -> None:
-        if stream in self.streams:
-            self.streams.remove(stream)
+        self.streams.pop(stream, None)
         for key in [key for key in self.out if key[0] is stream]:
             self.end(self.out.pop(key), AttemptEnd.CUT)
         stream.close()
@@ -94,13 +99,18 @@
                 free = CIRCUITS - len(self.standing)
                 load = ";".join(f"x{n}:{free}" for n in range(4)) + ";queue:0;qps:400"
                 self.say(stream, {"verb": "LOAD", "opts": {"load": load}})
-                for data in self.owed:
-                    stream.write(data)
-                self.owed.clear()
             yield from self.kernel.sleep(REPORT_INTERVAL)
 
+    def send_owed(self, stream: Stream) -> Coroutine[None]:
+        """A release is sent once more on the next connection that is opened."""
+        yield from self.hang()
+        for attempt, data in self.owed.pop(self.streams.get(stream, -1), []):
+            attempt.released_at = self.kernel.now()
+            stream.write(data)
+
     def say(self, stream: Stream, line: dict[str, Any]) -> None:
-        stream.write(json.dumps({"opts": {}} | line).encode() + b"\n")
+        if not self.silent:
+            stream.write(json.dumps({"opts": {}} | line).encode() + b"\n")
 
     def heard(self, stream: Stream, line: lines.Line) -> None:
         if line.verb == "START":
@@ -132,8 +142,7 @@
 
     def act(self, stream: Stream, attempt: Attempt, manner: Manner, delay: int) -> Coroutine[None]:
         yield from self.kernel.sleep(delay)
-        while self.silent and self.alive:
-            yield from self.kernel.sleep(20 * MS)
+        yield from self.hang()
         if self.out.get((stream, attempt.call_id)) is not attempt:
             return
         tag = attempt.call_id
@@ -155,6 +164,10 @@
             case _:
                 yield from self.start(stream, attempt, manner)
 
+    def hang(self) -> Coroutine[None]:
+        while self.silent and self.alive:
+            yield from self.kernel.sleep(20 * MS)
+
     def start(self, stream: Stream, attempt: Attempt, manner: Manner) -> Coroutine[None]:
         tag = attempt.call_id
         self.end(self.out.pop((stream, tag)), AttemptEnd.STARTED)
@@ -175,21 +188,22 @@
             yield from self.kernel.sleep(self.chance.randint(0, 5) * MS)
             stream.write(json.dumps(answer).encode() + b"\n")
         yield from self.kernel.sleep(round(self.holding * (0.5 + self.chance.random())))
+        yield from self.hang()
         if self.standing.get(tag, (None,))[0] is attempt and self.alive:
             self.finish(tag)
 
     def finish(self, tag: str) -> None:
-        """The call has come to its end: on its own connection, else on another, else on the next one."""
+        """The call has come to its end: said on its own connection, else on another, and on the next one."""
         attempt, stream = self.standing.pop(tag)
         attempt.released_at = self.kernel.now()
         data = json.dumps({"verb": "FINISH", "tag": tag, "opts": {}, "rc": lines.NORMAL}).encode() + b"\n"
-        if stream in self.streams:
+        agent = self.record.requests[tag].agent
+        self.owed.setdefault(agent, []).append((attempt, data))
+        others = [other for other, its_agent in self.streams.items() if its_agent == agent]
+        if stream in others:
             stream.write(data)
-        elif self.streams:
-            self.streams[0].write(data)
-            self.owed.append(data)
-        else:
-            self.owed.append(data)
+        elif others:
+            others[0].write(data)
 
     def released(self, stream: Stream, tag: str) -> None:
         attempt = self.out.pop((stream, tag), None)
@@ -204,12 +218,15 @@
     def die(self) -> None:
         """The process ends: its connections are reset and nothing listens any more."""
         self.alive = False
-        self.listener.close()
+        for listener in self.listeners:
+            listener.close()
         for stream in list(self.streams):
             stream.abort()
+        for attempt, _ in self.standing.values():
+            attempt.cut_at = self.kernel.now()
         self.standing.clear()
 
     def reset_one(self) -> None:
         """One connection is reset under whatever is open on it."""
         if self.streams:
-            self.chance.choice(self.streams).abort()
+            self.chance.choice(list(self.streams)).abort()
--- a/peattrestle/trials/feed.py
+++ b/peattrestle/trials/feed.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from peattrestle.runtime import Coroutine, Kernel, Lost, Stream
+from peattrestle.runtime import Coroutine, Kernel, Listener, Lost, Stream
+from peattrestle.trials.deployment import Deployment
 
 MS = 1_000_000
 COMMENT_INTERVAL = 1_000 * MS
@@ -23,47 +24,61 @@
     REFUSING = "refusing"
 
 
+@dataclass(slots=True, frozen=True)
+class Host:
+    """One exchange as the feed tells of it; `place` is where it listens."""
+
+    name: str
+    number: int
+    place: int
+    state: str = "SERVING"
+
+    def tree(self, dial: str) -> dict[str, Any]:
+        return {"host": self.name, "dial": dial, "block": self.number, "health": self.state, "born_ms": 0}
+
+
 @dataclass(slots=True)
 class Event:
-    """One published event and when the feed had it."""
+    """One published event: the hosts that it tells of; `whole` where that is all of them."""
 
     number: int
-    text: bytes
-    at: int
+    hosts: list[Host]
+    whole: bool
 
 
 class StandInFeed:
     """Serves every event after `Last-Event-ID`, then each new one and a comment each second."""
 
-    def __init__(self, kernel: Kernel, addresses: list[str]) -> None:
-        self.kernel, self.addresses = kernel, addresses
+    def __init__(self, kernel: Kernel, deployment: Deployment, places: int) -> None:
+        self.kernel, self.deployment, self.places = kernel, deployment, places
         self.events: list[Event] = []
-        self.tree: list[dict[str, Any]] = []
         self.state = FeedState.UP
         self.place = 0
         self.outage_began = 0
         self.watchers: dict[Stream, int] = {}
+        self.agents: dict[Stream, int] = {}
+        self.listeners: list[Listener] = []
         self.open()
 
-    @property
-    def address(self) -> str:
-        return self.addresses[self.place]
+    def address(self, agent: int) -> str:
+        return self.deployment.feed_address(self.place, agent)
 
     @property
     def speaking(self) -> bool:
         return self.state is not FeedState.SILENT
 
     def open(self) -> None:
-        self.listener = self.kernel.listen(self.address)
-        self.kernel.spawn(self.accept(), "feed")
+        self.listeners = [self.kernel.listen(self.address(agent)) for agent in range(self.deployment.agents)]
+        for agent, listener in enumerate(self.listeners):
+            self.kernel.spawn(self.accept(listener, agent), "feed")
 
-    def accept(self) -> Coroutine[None]:
-        listener = self.listener
+    def accept(self, listener: Listener, agent: int) -> Coroutine[None]:
         while True:
             try:
                 stream = yield from listener.accept()
             except Lost:
                 return
+            self.agents[stream] = agent
             self.kernel.spawn(self.serve(stream), "watcher of the feed")
 
     def serve(self, stream: Stream) -> Coroutine[None]:
@@ -73,6 +88,7 @@
             pass
         finally:
             self.watchers.pop(stream, None)
+            self.agents.pop(stream, None)
             stream.close()
 
     def converse(self, stream: Stream) -> Coroutine[None]:
@@ -103,30 +119,33 @@
         last = self.watchers[stream]
         for event in self.events:
             if event.number > last:
-                stream.write(event.text)
+                tree = json.dumps(self.tree(event, self.agents[stream]))
+                stream.write(f"id: {event.number}\ndata: {tree}\n\n".encode())
                 self.watchers[stream] = event.number
 
-    def publish(self, hosts: list[dict[str, Any]], whole: bool = False) -> int:
-        """The feed has one more event from now on; returns when the agents count as told of it."""
-        number = len(self.events) + 1
-        tree = {"n": number, "members": {"seq": number, "whole": whole, "hosts": hosts}}
-        self.tree.append(tree)
-        text = f"id: {number}\ndata: {json.dumps(tree)}\n\n".encode()
+    def tree(self, event: Event, agent: int) -> dict[str, Any]:
+        hosts = [one.tree(self.deployment.exchange_address(one.place, agent)) for one in event.hosts]
+        members = {"seq": event.number, "whole": event.whole, "hosts": hosts}
+        return {"n": event.number, "members": members}
+
+    def publish(self, hosts: list[Host], whole: bool = False) -> int:
+        """The feed has one more event from now on; returns the time."""
         now = self.kernel.now()
-        self.events.append(Event(number, text, now))
+        self.events.append(Event(len(self.events) + 1, hosts, whole))
         if self.state is FeedState.UP:
             for stream in list(self.watchers):
                 self.send(stream)
         return now
 
-    def known(self) -> dict[str, Any]:
-        return {"n": len(self.events), "events": list(self.tree)}
+    def known(self, agent: int) -> dict[str, Any]:
+        """The events up to now, as the configuration of an agent has them."""
+        return {"n": len(self.events), "events": [self.tree(event, agent) for event in self.events]}
 
     def fail(self, state: FeedState) -> None:
         """An outage begins."""
         self.state, self.outage_began = state, self.kernel.now()
         if state is FeedState.DOWN:
-            self.listener.close()
+            self.close_listeners()
             for stream in list(self.watchers):
                 stream.abort()
 
@@ -138,12 +157,15 @@
         for stream in list(self.watchers) if state is FeedState.SILENT else []:
             del self.watchers[stream]  # a call that fell silent tells nothing more
 
-    def move(self) -> str:
+    def close_listeners(self) -> None:
+        for listener in self.listeners:
+            listener.close()
+
+    def move(self) -> None:
         """The feed is at the next address from now on; the old one tells nothing more."""
-        self.listener.close()
+        self.close_listeners()
         for stream in list(self.watchers):
             self.watchers.pop(stream)
             self.kernel.at(self.kernel.now() + 1_500 * MS, stream.close)
-        self.place = (self.place + 1) % len(self.addresses)
+        self.place = (self.place + 1) % self.places
         self.open()
-        return self.address
--- a/peattrestle/trials/judge.py
+++ b/peattrestle/trials/judge.py
@@ -166,30 +166,31 @@
         found = []
         for attempt in self.record.attempts:
             request = self.record.requests[attempt.call_id]
-            if not attempt.released_at or not request.answers or request.answers[0].status != STOOD:
+            over_at = attempt.released_at or attempt.cut_at
+            stood = bool(request.answers) and request.answers[0].status == STOOD
+            if not over_at or not stood or request.release_sent_at or request.given_up_at:
                 continue
-            if request.release_sent_at or request.given_up_at:
+            if attempt.description != request.answers[0].description:
                 continue
-            if not self.served_throughout(request, request.answers[0].at, attempt.released_at):
-                continue
-            end = request.connection.end
-            within = RELEASE_WITHIN if end is ConnectionEnd.OPEN else RELEASE_UNSENT_WITHIN
-            due = attempt.released_at + within + SLACK
-            if self.ended_at < due or self.shutting_down(request.agent, attempt.released_at, due):
+            due = over_at + self.release_bound(attempt, request) + SLACK
+            if self.ended_at < due or not self.in_service(request.agent, request.answers[0].at, due):
                 continue
             if not request.released_at or request.released_at > due:
-                text = f"{request.call_id}: ended at {attempt.exchange}, not released to its caller in time"
+                text = f"{request.call_id}: over at {attempt.exchange}, not released to its caller in time"
                 found.append(Breach("lost", due, text))
         return found
 
-    def served_throughout(self, request: Request, begin: int, end: int) -> bool:
-        """One and the same run of the agent was there from `begin` to `end`."""
-        life = self.life_at(request.agent, begin)
-        return life is not None and life is self.life_at(request.agent, end) and not 0 < life.ended_at < end
+    def release_bound(self, attempt: Attempt, request: Request) -> int:
+        heard = attempt.released_at and request.connection.end is ConnectionEnd.OPEN
+        return RELEASE_WITHIN if heard else RELEASE_UNSENT_WITHIN
 
-    def shutting_down(self, agent: int, begin: int, end: int) -> bool:
+    def in_service(self, agent: int, begin: int, end: int) -> bool:
+        """One and the same run of the agent was there from `begin` to `end`, and no shutdown had begun."""
         life = self.life_at(agent, begin)
-        return life is None or 0 < life.terminated_at < end or 0 < life.ended_at < end
+        if life is None or life is not self.life_at(agent, end):
+            return False
+        ends = [at for at in (life.terminated_at, life.ended_at) if at]
+        return not ends or min(ends) >= end
 
     # Agents.
 
--- a/peattrestle/trials/process.py
+++ b/peattrestle/trials/process.py
@@ -19,6 +19,7 @@
 MS = 1_000_000
 POLL = 5 * MS
 READY_WITHIN = 10_000 * MS
+DEBUG_LINES = 5_000  # a second: the whole life of each call is wanted
 DIAL = 500 * MS
 
 
@@ -39,6 +40,12 @@
     def running(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def in_service(self) -> bool:
+        """Ready, and neither told to end nor killed."""
+        life = self.life
+        return self.running and bool(life.ready_at) and not life.terminated_at and not life.killed_at
+
     def start(self) -> None:
         """Raises OSError where no process can be started."""
         limit = self.deployment.sockets
@@ -47,7 +54,11 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
 
         self.log = self.log_path.open("ab")
-        environment = os.environ | {"LB_CONFIG": str(self.configuration), "LB_NAME": f"n{self.agent}"}
+        environment = os.environ | {
+            "LB_CONFIG": str(self.configuration),
+            "LB_NAME": f"n{self.agent}",
+            "PEATTRESTLE_DEBUG_LINES": str(DEBUG_LINES),
+        }
         self.process = subprocess.Popen(
             [sys.executable, "-m", "peattrestle.platform"],
             env=environment,
--- a/peattrestle/trials/record.py
+++ b/peattrestle/trials/record.py
@@ -65,7 +65,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One set-up as an exchange saw it; `released_at` is when the exchange ended the call that stood."""
+    """One set-up as an exchange saw it.
+
+    `released_at`: when the exchange last said that the call is over; `cut_at`: when it died with it standing.
+    """
 
     call_id: str
     exchange: str
@@ -74,6 +77,7 @@
     end: AttemptEnd = AttemptEnd.OUT
     description: str = ""
     released_at: int = 0
+    cut_at: int = 0
 
 
 @dataclass(slots=True)
--- a/peattrestle/trials/world.py
+++ b/peattrestle/trials/world.py
@@ -5,15 +5,15 @@
 import random
 import signal
 import socket
+from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 from peattrestle.runtime import Coroutine
 from peattrestle.runtime.epoll import EpollKernel
 from peattrestle.trials.caller import CallerGroup, Habits
 from peattrestle.trials.deployment import Deployment
 from peattrestle.trials.exchange import StandInExchange
-from peattrestle.trials.feed import FeedState, StandInFeed
+from peattrestle.trials.feed import FeedState, Host, StandInFeed
 from peattrestle.trials.judge import Breach, Judge
 from peattrestle.trials.process import AgentProcess
 from peattrestle.trials.record import Membership, Record
@@ -41,13 +41,13 @@
         self.kernel = EpollKernel(seed)
         self.chance = random.Random(seed)
         self.record = Record()
-        self.feed = StandInFeed(self.kernel, [deployment.feed_address(place) for place in range(FEED_PLACES)])
+        self.feed = StandInFeed(self.kernel, deployment, FEED_PLACES)
         self.exchanges: dict[str, StandInExchange] = {}
-        self.hosts: dict[str, dict[str, Any]] = {}
+        self.hosts: dict[str, Host] = {}
         self.names = 0
         self.settled_at = 0  # until then agents may still be on their way back to the feed
         for number in range(deployment.exchanges):
-            self.open_exchange(number, deployment.exchange_address(number))
+            self.open_exchange(number, number)
         self.feed.publish(list(self.hosts.values()), whole=True)
         self.agents = [
             AgentProcess(self.kernel, self.record, deployment, agent, folder)
@@ -81,14 +81,16 @@
 
     # Exchanges.
 
-    def open_exchange(self, number: int, address: str) -> StandInExchange:
+    def open_exchange(self, number: int, place: int) -> StandInExchange:
         name = f"s{number}-{self.names}"
         self.names += 1
+        agents = range(self.deployment.agents)
+        addresses = [self.deployment.exchange_address(place, agent) for agent in agents]
         exchange = StandInExchange(
-            self.kernel, self.record, name, address, self.generator(name), self.deployment.holding
+            self.kernel, self.record, name, addresses, self.generator(name), self.deployment.holding
         )
         self.exchanges[name] = exchange
-        self.hosts[name] = {"host": name, "dial": address, "block": number, "health": "SERVING", "born_ms": 0}
+        self.hosts[name] = Host(name, number, place)
         return exchange
 
     def told_by(self, at: int) -> int:
@@ -103,15 +105,14 @@
 
     def drain(self, name: str) -> None:
         """The exchange begins to leave; it goes on serving."""
-        host = self.hosts[name] | {"health": "DRAINING"}
-        self.hosts[name] = host
+        host = self.hosts[name] = replace(self.hosts[name], state="DRAINING")
         at = self.feed.publish([host])
         self.record.departures[name] = Membership(name, at, self.told_by(at))
         self.record.note(at, f"{name} drains")
 
     def remove(self, name: str) -> None:
         """The exchange is gone from the list, and its process ends."""
-        host = self.hosts.pop(name) | {"health": "DELETED"}
+        host = replace(self.hosts.pop(name), state="DELETED")
         at = self.feed.publish([host])
         self.record.departures.setdefault(name, Membership(name, at, self.told_by(at)))
         self.exchanges.pop(name).die()
@@ -119,10 +120,9 @@
 
     def replace(self, name: str) -> None:
         """Its process dies; another exchange, warm and of the same number, takes its address."""
-        exchange = self.exchanges[name]
-        number = int(name[1 : name.index("-")])
+        host = self.hosts[name]
         self.remove(name)
-        fresh = self.open_exchange(number, exchange.address)
+        fresh = self.open_exchange(host.number, host.place)
         self.feed.publish([self.hosts[fresh.name]])
 
     # The feed.
@@ -142,9 +142,9 @@
 
     def move_feed(self) -> None:
         """A new configuration names another address of the feed; every agent gets SIGHUP."""
-        address = self.feed.move()
+        self.feed.move()
         now = self.kernel.now()
-        self.record.note(now, f"feed moves to {address}")
+        self.record.note(now, f"feed moves to {self.feed.address(0)}")
         moved = now + TOLD_AFTER_MOVE
         self.settled_at = min(self.settled_at, moved) if self.settled_at > now else moved
         for agent in self.agents:
@@ -159,8 +159,8 @@
             self.agents[agent].configuration,
             agent,
             self.seed * 1000 + agent,
-            self.feed.known(),
-            self.feed.address,
+            self.feed.known(agent),
+            self.feed.address(agent),
         )
 
     def bring_up(self, agent: int) -> Coroutine[None]:
@@ -179,12 +179,17 @@
     def planned_restart(self, agent: int, start_again: bool = True) -> Coroutine[None]:
         """SIGTERM, callers on open connections until SIGKILL at its earliest, then a new start."""
         process, callers = self.agents[agent], self.callers[agent]
+        if not process.in_service:
+            return
+        life = process.life
         process.terminate()
         kill_at = process.life.terminated_at + self.deployment.kill_after
         yield from self.kernel.sleep(NEW_CONNECTIONS_FOR)
         callers.dialling = False
         while self.kernel.now() < kill_at:
             yield from self.kernel.sleep(min(5 * MS, kill_at - self.kernel.now()))
+        if process.life is not life:
+            return  # it crashed meanwhile and was started again
         process.kill_if_running()
         callers.sending = False
         yield from self.kernel.sleep(RESTART_DELAY)
@@ -194,6 +199,8 @@
     def crash(self, agent: int) -> Coroutine[None]:
         """An agent is killed outright and started again."""
         process, callers = self.agents[agent], self.callers[agent]
+        if not process.in_service:
+            return
         process.kill_without_warning()
         callers.sending = callers.dialling = False
         yield from self.kernel.sleep(RESTART_DELAY)
--- a/tests/trials/test_shutdown.py
+++ b/tests/trials/test_shutdown.py
@@ -24,7 +24,7 @@
         target=deadline_ms * MS * 9 // 10,
         release_time=min(150, deadline_ms // 4) * MS,
         network=11,
-        ports=(free_port(),),
+        port=free_port(),
     )
     world = World(deployment, tmp_path, seed=7, habits=Habits(interval=8 * MS, gives_up=0.0, repeats=0.0))
     for exchange in world.exchanges.values():
