A call answered too late is answered as failed, not left without an answer

What callers saw: no final answer at all for calls whose answer came some milliseconds after their time (rule lost). The H.248 front answered such calls with its own fault. Change: the caller is told 408, what stands is released at the exchange; a warning, since no module is at fault. Result: tests/platform/test_answers.py fails before and passes; tests of platform and agent pass.

--- a/peattrestle/calls/core.py
+++ b/peattrestle/calls/core.py
@@ -14,7 +14,7 @@
 from typing import Any, Generic, TypeVar
 
 from peattrestle import interface as api
-from peattrestle.calls.guard import Guard
+from peattrestle.calls.guard import LATE_ANSWER, Guard
 from peattrestle.control import Controller
 from peattrestle.runtime import Kernel, Timer
 
@@ -365,7 +365,10 @@
         broken = self.guard.answer(self.kernel.now(), call.id)
         if broken:
             self.counts.add("guard_refusals")
-            self.log("error", "the guard refused an answer", rule=broken, call=call.id)
+            level = "warning" if broken == LATE_ANSWER else "error"
+            self.log(
+                level, "the guard refused an answer", rule=broken, call=call.id, reference=self.named(call)
+            )
             if not self.misanswered(call):
                 return
         else:
--- a/peattrestle/calls/guard.py
+++ b/peattrestle/calls/guard.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass, field
 
+LATE_ANSWER = "rule 1: a final answer after the abandon time"
+
 
 @dataclass(slots=True)
 class Held:
@@ -97,7 +99,7 @@
             return self._refuse("rule 1: a second final answer")
         if now > held.abandon_at:
             held.answered = True  # nothing may be sent for it any more
-            return self._refuse("rule 1: a final answer after the abandon time")
+            return self._refuse(LATE_ANSWER)
         held.answered = True
         return ""
 
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, replace
 
 from peattrestle import interface as api
-from peattrestle.calls.core import OPEN, OVER, STANDS, STOOD, Call, Core, Final, RouteTry, Unsent
+from peattrestle.calls.core import FAILED, OPEN, STANDS, STOOD, Call, Core, Final, RouteTry, Unsent
 from peattrestle.calls.core import REFUSED as BLOCKED
 from peattrestle.calls.guard import Guard
 from peattrestle.control import Controller
@@ -56,6 +56,7 @@
     fields: dict[str, str]
     description: str = ""
     released: int = lines.NORMAL  # the cause that its caller gave
+    answered: bool = False
 
 
 class Agent(Core[SipCall, Try]):
@@ -412,6 +413,7 @@
     def reply(self, call: SipCall, final: Final) -> None:
         self.counts.add(("transit_" if call.asked.transit else "") + final.kind)
         caller = call.caller
+        call.answered = True
         if caller is None:
             return
         if final.kind == STOOD:
@@ -429,8 +431,11 @@
         call.fields, call.description = {}, ""
 
     def misanswered(self, call: SipCall) -> bool:
-        """Too late for any answer: its time is up, and nothing more is sent."""
-        return call.state != OVER
+        """Its time is up: its caller is told that it failed, since a call without any answer is lost."""
+        if call.answered:
+            return False
+        self.reply(call, Final(FAILED))
+        return True
 
     def dropped(self, call: SipCall) -> None:
         tag = call.asked.tag
--- /dev/null
+++ b/tests/platform/test_answers.py
@@ -0,0 +1,20 @@
+"""The one final answer of a call, also where the agent is late; on virtual time."""
+
+from __future__ import annotations
+
+from peattrestle.exchangeline.lines import Line
+from tests.platform.test_agent import TAG, Town, invite
+
+
+def test_a_call_that_stands_too_late_is_answered_as_failed_and_released() -> None:
+    town = Town()
+    exchange = town.exchanges[1]
+    exchange.manner = lambda stream, line: None
+    caller = town.caller(invite())
+    (call,) = town.agent.calls.values()
+    town.agent.guard.calls[call.id].abandon_at = town.kernel.now()  # as if the loop had been held up
+    exchange.stands(exchange.where[TAG], Line("START", TAG))
+    town.pass_time(100)
+    assert caller.statuses() == [408]
+    assert exchange.verbs() == ["START", "FINISH"]
+    assert (town.agent.calls, town.agent.tags, town.agent.standing) == ({}, {}, {})
