A call whose try ended in the turn it is overdue gets the module's answer

What callers saw: 500 in place of the module's answer when the loop had been held up by 10 ms or more. Cause: Core.overdue in calls/core.py answered at once, though the end of the call's try, due earlier in the same turn, was only on its way to the module. With deadlines of 100 ms and a busy core this was logged as a fault of the module. Change: it looks again at the end of the turn, after the module's batch. Result: the test fails before and passes, as does that of a call that the module forgot; tests of platform and agent pass.

--- a/peattrestle/calls/core.py
+++ b/peattrestle/calls/core.py
@@ -190,6 +190,11 @@
         self.post(arrived)
 
     def overdue(self, call: C) -> None:
+        """Looks again at the turn's end: where the loop was held up, the module hears of the end of the
+        call's try in this same turn, and answers."""
+        self.kernel.at_turn_end(lambda: self.answer_overdue(call))
+
+    def answer_overdue(self, call: C) -> None:
         """The last line of rule 1: the module has left a call without an answer. A fault, and answered."""
         if call.state == OPEN:
             self.counts.add("overdue")
