No wait for the release time where no further try could follow it

What callers saw: an answer some tens of milliseconds late, or 500 from the last line of defence, though the call had been given up on already. Cause: Home.try_ended in control.py waited for the release time if it ended before the abandon time, but Home.send sends nothing in the last two steps before that; so the call was only blocked at the end of the wait. Change: both ask last_send_at.

--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -579,10 +579,14 @@
                 return
         self.block(call)
 
+    def last_send_at(self, call: Call) -> int:
+        """Nothing is sent for a call from then on: its answer would come too late."""
+        return call.asked.abandon_at - 2 * self.loop.settings.get("step", 0)
+
     def send(self, call: Call, route: Exchange) -> None:
         """The only place that sends: one try out, none in the release time, none to a leaving exchange."""
         now = self.loop.now
-        patience = call.asked.abandon_at - now - 2 * self.loop.settings.get("step", 0)
+        patience = self.last_send_at(call) - now
         spent = call.tries > 0 and self.further < 1 and self.strain(1.0) > self.STRAIN_MOST / 5
         if call.out is not None or now < call.release_at or route.state != "ready" or patience <= 0 or spent:
             self.block(call)
@@ -679,7 +683,7 @@
         if cut_off or not safe or note.cause in ("beyond_full", "processor_full", "lines_busy"):
             call.routes.clear()
             call.unranked = False  # a tandem leads to the same processor and the same number
-        in_time = call.release_at < min(call.arrived + self.target, call.asked.abandon_at)
+        in_time = call.release_at < min(call.arrived + self.target, self.last_send_at(call))
         if note.result == "timeout" and safe and in_time and not call.asked.transit:
             self.loop.actions.append(api.SetTimer(call.release_at, str(call.asked.call)))
         else:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -544,3 +544,14 @@
         assert sent(actions) == [way]
         actions = agent.ended(50, 1, int(way[1]), "full", cause="turned_back")
     assert sent(actions) == [] and answers(actions) == ["Block"]
+
+
+@pytest.mark.parametrize(("ended_at", "waits"), [(289, True), (291, False)])
+def test_a_call_waits_for_the_release_time_only_if_it_may_then_be_sent_again(
+    ended_at: float, waits: bool
+) -> None:
+    agent = Agent()
+    assert sent(agent.call(0, 1, patience=600)) == ["x1"]
+    actions = agent.ended(ended_at, 1, 1, "timeout")
+    assert answers(actions) == ([] if waits else ["Block"])
+    assert any(isinstance(action, api.SetTimer) for action in actions) == waits
