--- a/peattrestle/control.py
+++ b/peattrestle/control.py
@@ -207,7 +207,7 @@
         self.bins[bisect_left(self.EDGES, share)] += 1
 
     def above(self, share: float) -> float:
-        return sum(self.bins[bisect_left(self.EDGES, share) + 1:])
+        return sum(self.bins[bisect_left(self.EDGES, share) + 1 :])
 
     def quantile(self, part: float) -> float:
         """The upper edge of the bin that the part falls in; above the last edge, or of too few: infinite."""
@@ -222,13 +222,13 @@
 class Exchange(Actor):
     """What is known of one exchange, and whether a call may be sent through it now."""
 
-    WINDOW_START = 4.0    # enough to begin with; a few answers in time widen it
-    WINDOW_LEAST = 0.05   # below 1 a call goes by this chance though none is out
-    REOPEN = 0.1          # of a window a second: with few calls nothing else would tell that it is over
+    WINDOW_START = 4.0  # enough to begin with; a few answers in time widen it
+    WINDOW_LEAST = 0.05  # below 1 a call goes by this chance though none is out
+    REOPEN = 0.1  # of a window a second: with few calls nothing else would tell that it is over
     CUT = 0.5
-    OWN_STEP = 0.05       # of the own window, which holds all set-ups from here, at each answer
+    OWN_STEP = 0.05  # of the own window, which holds all set-ups from here, at each answer
     CUT_EVERY = SECOND // 2  # what was sent before a cut says nothing about the cut
-    SOON = 0.9            # share of the answered set-ups that must have come soon, by twice, to give up early
+    SOON = 0.9  # share of the answered set-ups that must have come soon, by twice, to give up early
 
     def __init__(self, loop: Loop, home: Home, name: str) -> None:
         super().__init__(loop)
@@ -291,7 +291,7 @@
         elif note.how == "missed" and now - note.waited < self.heard_at:
             pass  # lost alone, or the exchange would not have answered later set-ups in time
         elif note.how == "down":
-            self.window = self.WINDOW_LEAST   # nothing listens there, whatever the list still says
+            self.window = self.WINDOW_LEAST  # nothing listens there, whatever the list still says
             self.cut_at = now + self.CUT_EVERY
         elif note.how and now >= self.cut_at:
             self.window = max(self.WINDOW_LEAST, self.window * self.CUT)
@@ -362,15 +362,15 @@
     asked: api.CallArrived
     arrived: int
     destination: Exchange
-    seen: Seen | None = None      # first or further try of its caller; None in transit
+    seen: Seen | None = None  # first or further try of its caller; None in transit
     routes: deque[Exchange] = field(default_factory=deque)
-    out: Exchange | None = None   # the exchange that the one route try is out to
+    out: Exchange | None = None  # the exchange that the one route try is out to
     tries: int = 0
-    release_at: int = 0           # rule 5: no send before this
-    may_have_run: bool = False    # rule 2 for bearer types that are not safe to repeat
+    release_at: int = 0  # rule 5: no send before this
+    may_have_run: bool = False  # rule 2 for bearer types that are not safe to repeat
     tandem_tries: int = 0
     sent_at: int = 0
-    unranked: bool = False        # its tandems are still to be ranked, should it come to them
+    unranked: bool = False  # its tandems are still to be ranked, should it come to them
     braked: bool = False
 
 
@@ -380,7 +380,7 @@
     STRAIN_MOST = 0.25  # from this share of late answers on, no call overflows and the own window shrinks
     FURTHER, FURTHER_MOST = 0.1, 10.0  # further route tries for each first one, and how many may be saved up
     RETURNS = 0.2  # late callers come back at this share of the calls that stand
-    JITTER = 0.4   # of a third of the GoS target: what was turned away together comes back apart
+    JITTER = 0.4  # of a third of the GoS target: what was turned away together comes back apart
     GAP_FIRST, GAP_MOST = SECOND, 8 * SECOND  # a line comes free within about a holding time
 
     def __init__(self, loop: Loop) -> None:
@@ -388,7 +388,7 @@
         get = loop.settings.get
         self.exchanges: dict[str, Exchange] = {}
         self.numbers: dict[int, Exchange] = {}
-        self.able = 0.0    # most set-ups a second that any exchange has reported
+        self.able = 0.0  # most set-ups a second that any exchange has reported
         self.circuits = 0  # in all own groups; over the holding time, what a like exchange carries
         self.calls: dict[int, Call] = {}
         self.records: dict[tuple[int, str], RouteRecord] = {}
@@ -501,8 +501,12 @@
     def arrive(self, asked: api.CallArrived) -> None:
         destination = self.numbers.get(asked.destination)
         until, _ = self.gaps.get(asked.number, (0, 0))
-        seen = None if asked.transit else asked.seen or self.sight.asked(
-            self.loop.now, self.wanted(asked), asked.repeat, asked.cut_before)
+        seen = (
+            None
+            if asked.transit
+            else asked.seen
+            or self.sight.asked(self.loop.now, self.wanted(asked), asked.repeat, asked.cut_before)
+        )
         if destination is None or asked.destination == self.own_number and asked.transit or asked.held:
             # Nowhere to go, or over its gateway's share. Callers whose agent is away call here by a tandem.
             self.refuse(asked, seen)
@@ -581,7 +585,8 @@
 
     def last_send_at(self, call: Call) -> int:
         """Nothing is sent for a call from then on: its answer would come too late."""
-        return call.asked.abandon_at - 2 * self.loop.settings.get("step", 0)
+        step: int = self.loop.settings.get("step", 0)
+        return call.asked.abandon_at - 2 * step
 
     def send(self, call: Call, route: Exchange) -> None:
         """The only place that sends: one try out, none in the release time, none to a leaving exchange."""
--- a/peattrestle/wirehost/parse.py
+++ b/peattrestle/wirehost/parse.py
@@ -81,8 +81,11 @@
             spot = spot.get(part) if isinstance(spot, dict) else None
         return spot
 
-    flat = {ours: _setting(path, value) for path, ours in words.SETTINGS.items()
-            if (value := at(path)) is not None}
+    flat = {
+        ours: _setting(path, value)
+        for path, ours in words.SETTINGS.items()
+        if (value := at(path)) is not None
+    }
     classes = at("Classes") or []
     flat["bearer_types"] = tuple(one["Name"] for one in classes)
     for place, one in enumerate(classes):
@@ -94,7 +97,8 @@
             if place < len(row):
                 value = row[place]
                 flat[f"{ours}:{one['Name']}"] = (
-                    tuple(value) if isinstance(value, list) else _setting(path, value))
+                    tuple(value) if isinstance(value, list) else _setting(path, value)
+                )
     for one in at("Projects") or []:
         for theirs, ours in words.CUSTOMER.items():
             if theirs in one:
@@ -114,24 +118,42 @@
 
 
 def entry(line: Line) -> api.Entry:
-    return api.Entry(line.text("Exchange"), line.whole("PointCode"),
-                     words.STATES.get(line.whole("Availability"), "gone"),
-                     line.whole("SinceUs") * US, line.text("Area"))
+    return api.Entry(
+        line.text("Exchange"),
+        line.whole("PointCode"),
+        words.STATES.get(line.whole("Availability"), "gone"),
+        line.whole("SinceUs") * US,
+        line.text("Area"),
+    )
 
 
 def event(line: Line, fields: tuple[str, ...]) -> api.Event | None:
     """None for a kind that is not known here."""
     if line.kind == "probe_done":
-        return api.Reported(line.text("Exchange"), words.RESULTS.get(line.text("Result"), "error"),
-                            line.whole("RttUs") * US, load(line.text("Pressure"), fields))
+        return api.Reported(
+            line.text("Exchange"),
+            words.RESULTS.get(line.text("Result"), "error"),
+            line.whole("RttUs") * US,
+            load(line.text("Pressure"), fields),
+        )
     if line.kind == "call":
         return api.CallArrived(
-            line.needed("Id"), line.text("Band"), line.needed("ValidUntilUs") * US,
-            line.needed("CalledNode"), line.text("Item"), line.whole("Units", 1), line.whole("Via", -1),
-            line.flag("Transit"), line.flag("Reconnect"), line.flag("Repeat"), line.text("Team"))
+            line.needed("Id"),
+            line.text("Band"),
+            line.needed("ValidUntilUs") * US,
+            line.needed("CalledNode"),
+            line.text("Item"),
+            line.whole("Units", 1),
+            line.whole("Via", -1),
+            line.flag("Transit"),
+            line.flag("Reconnect"),
+            line.flag("Repeat"),
+            line.text("Team"),
+        )
     if line.kind == "ack_first":
-        return api.Stood(line.needed("Id"), line.text("Exchange"), line.whole("RttUs") * US,
-                         line.whole("Leg"))
+        return api.Stood(
+            line.needed("Id"), line.text("Exchange"), line.whole("RttUs") * US, line.whole("Leg")
+        )
     if line.kind == "verdict":
         code = line.whole("ClearCode")
         cause, wait = words.CAUSES.get(code % 16, ""), 0
@@ -140,9 +162,16 @@
         elif cause == "processor_full":
             wait = code // 16 * 1_000 * US
         return api.TryEnded(
-            line.needed("Id"), line.text("Exchange"), words.RESULTS.get(line.text("Result"), "error"),
-            line.whole("RttUs") * US, line.whole("Leg"), line.flag("DoneFlag"), cause, wait,
-            load(line.text("Pressure"), fields))
+            line.needed("Id"),
+            line.text("Exchange"),
+            words.RESULTS.get(line.text("Result"), "error"),
+            line.whole("RttUs") * US,
+            line.whole("Leg"),
+            line.flag("DoneFlag"),
+            cause,
+            wait,
+            load(line.text("Pressure"), fields),
+        )
     if line.kind == "client_left":
         return api.CallerLeft(line.needed("Id"))
     if line.kind == "timeout_fired":
--- a/tests/h248/test_text.py
+++ b/tests/h248/test_text.py
@@ -35,7 +35,7 @@
     (b"!/1 <a1> T=7{C=${A=c/1{M{O{PTC/BRT=line}}}}}", Message("<a1>", [ADD])),  # short tokens, any case
     (
         b'megaco/1 <a1>\r\n ; a comment, {"\r\n tRaNsAcTiOn = 7 {\tcontext=$ {add= c/1 { media'
-        b'{localcontrol{ptc/brt '
+        b"{localcontrol{ptc/brt "
         b'="line" } } } } ; end\n }\n',
         Message("<a1>", [ADD]),
     ),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,18 +9,36 @@
 
 MS = 1_000_000
 SETTINGS: dict[str, Any] = {
-    "agents": 4, "own_number": 0, "topology": "mesh", "step": 5 * MS, "release_time": 300 * MS,
-    "route_try_limit": 6, "come_back": True, "come_back_limit": 2000 * MS, "cold_from": 0.3,
-    "cold_time": 14_000 * MS, "fall_time": 1000 * MS, "fall_multiple": 2.0, "bearer_types": ("line",),
-    "gos_target:line": 1500 * MS, "revenue:line": 1.0, "holding:line": 10_000 * MS, "effect:line": "safe",
+    "agents": 4,
+    "own_number": 0,
+    "topology": "mesh",
+    "step": 5 * MS,
+    "release_time": 300 * MS,
+    "route_try_limit": 6,
+    "come_back": True,
+    "come_back_limit": 2000 * MS,
+    "cold_from": 0.3,
+    "cold_time": 14_000 * MS,
+    "fall_time": 1000 * MS,
+    "fall_multiple": 2.0,
+    "bearer_types": ("line",),
+    "gos_target:line": 1500 * MS,
+    "revenue:line": 1.0,
+    "holding:line": 10_000 * MS,
+    "effect:line": "safe",
 }
 
 
 class Agent:
     """Exchange 0 with groups to all others, named 'x1' and so on, 30 circuits each."""
 
-    def __init__(self, free: dict[int, int] | None = None, seed: int = 7,
-                 settings: dict[str, Any] | None = None, exchanges: int = 4) -> None:
+    def __init__(
+        self,
+        free: dict[int, int] | None = None,
+        seed: int = 7,
+        settings: dict[str, Any] | None = None,
+        exchanges: int = 4,
+    ) -> None:
         self.controller = Controller(seed, SETTINGS | (settings or {}))
         self.now = 0
         self.tries: dict[int, int] = {}
@@ -36,8 +54,9 @@
         load = {"free": free, "size": 30}
         assert self.at(self.now / MS, api.Reported(f"x{number}", "served", 0, load)) == []
 
-    def call(self, ms: float, call: int, to: int = 1, patience: float = 3000,
-             **more: Any) -> list[api.Action]:
+    def call(
+        self, ms: float, call: int, to: int = 1, patience: float = 3000, **more: Any
+    ) -> list[api.Action]:
         abandon_at = int((ms + patience) * MS)
         fields: dict[str, Any] = {"bearer_type": "line", "number": f"n{call}"} | more
         return self.at(ms, api.CallArrived(call, abandon_at=abandon_at, destination=to, **fields))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,18 +9,21 @@
 from tests.helpers import MS, Agent, answers, sent
 
 
-@pytest.mark.parametrize(("free", "call", "expected"), [
-    ({}, {}, ["x1"]),
-    ({1: 0}, {}, ["x2"]),                             # own group full: the leg with most free circuits
-    ({1: 0, 2: 20}, {}, ["x3"]),
-    ({1: 0, 2: 3, 3: 2}, {}, ["x2"]),                 # leg margin: width and two more
-    ({1: 0, 2: 2, 3: 2}, {}, []),
-    ({1: 1}, {"width": 2}, ["x2"]),
-    ({}, {"transit": True, "via": 2}, ["x1"]),        # in transit: on, or back at once
-    ({1: 0}, {"transit": True, "via": 2}, []),
-    ({}, {"destination": 0}, ["x1"]),                 # its own number: a fault if sent there, so by a tandem
-    ({}, {"destination": 9}, []),                     # nobody there
-])
+@pytest.mark.parametrize(
+    ("free", "call", "expected"),
+    [
+        ({}, {}, ["x1"]),
+        ({1: 0}, {}, ["x2"]),  # own group full: the leg with most free circuits
+        ({1: 0, 2: 20}, {}, ["x3"]),
+        ({1: 0, 2: 3, 3: 2}, {}, ["x2"]),  # leg margin: width and two more
+        ({1: 0, 2: 2, 3: 2}, {}, []),
+        ({1: 1}, {"width": 2}, ["x2"]),
+        ({}, {"transit": True, "via": 2}, ["x1"]),  # in transit: on, or back at once
+        ({1: 0}, {"transit": True, "via": 2}, []),
+        ({}, {"destination": 0}, ["x1"]),  # its own number: a fault if sent there, so by a tandem
+        ({}, {"destination": 9}, []),  # nobody there
+    ],
+)
 def test_the_way_of_a_call(free: dict[int, int], call: dict[str, Any], expected: list[str]) -> None:
     agent = Agent(free)
     to = call.pop("destination", 1)
@@ -29,22 +32,34 @@
     assert answers(actions) == ([] if expected else ["Block"])
 
 
-@pytest.mark.parametrize(("agents", "free", "expected"), [
-    (6, 2, []), (6, 3, ["x2"]), (28, 5, []), (28, 6, ["x2"]), (64, 8, []), (64, 9, ["x2"]),
-])
+@pytest.mark.parametrize(
+    ("agents", "free", "expected"),
+    [
+        (6, 2, []),
+        (6, 3, ["x2"]),
+        (28, 5, []),
+        (28, 6, ["x2"]),
+        (64, 8, []),
+        (64, 9, ["x2"]),
+    ],
+)
 def test_the_leg_margin_grows_with_the_tandems_there_are(agents: int, free: int, expected: list[str]) -> None:
     assert sent(Agent({1: 0, 2: free, 3: 0}, settings={"agents": agents}).call(10, 1)) == expected
 
 
-@pytest.mark.parametrize(("outcomes", "ways", "answer"), [
-    ([("full", "turned_back"), ("full", "turned_back")], ["x3", "x2"], ["Block"]),   # two tandems at most
-    ([("full", "beyond_full")], ["x3"], ["Block"]),      # the destination's processor: no way round it
-    ([("full", "processor_full")], ["x3"], ["Block"]),   # the tandem's or the own: no call for more work
-    ([("error", "lines_busy")], ["x3"], ["Block"]),
-    ([("moot", "no_circuit"), ("moot", "no_circuit")], ["x3", "x2"], ["Block"]),
-])
-def test_a_blocked_call_tries_two_tandems(outcomes: list[tuple[str, str]], ways: list[str],
-                                          answer: list[str]) -> None:
+@pytest.mark.parametrize(
+    ("outcomes", "ways", "answer"),
+    [
+        ([("full", "turned_back"), ("full", "turned_back")], ["x3", "x2"], ["Block"]),  # two tandems at most
+        ([("full", "beyond_full")], ["x3"], ["Block"]),  # the destination's processor: no way round it
+        ([("full", "processor_full")], ["x3"], ["Block"]),  # the tandem's or the own: no call for more work
+        ([("error", "lines_busy")], ["x3"], ["Block"]),
+        ([("moot", "no_circuit"), ("moot", "no_circuit")], ["x3", "x2"], ["Block"]),
+    ],
+)
+def test_a_blocked_call_tries_two_tandems(
+    outcomes: list[tuple[str, str]], ways: list[str], answer: list[str]
+) -> None:
     agent = Agent({1: 0, 2: 20})
     seen, actions = [], agent.call(10, 1)
     for step, (result, cause) in enumerate(outcomes):
@@ -54,17 +69,28 @@
     assert (seen, answers(actions)) == (ways, answer)
 
 
-@pytest.mark.parametrize(("stood", "lost", "delay", "score"), [
-    (0, 4, 0, 0), (0, 5, 0, 10),                      # fewer than five set-ups score 0
-    (8, 2, 0, 0), (79, 21, 0, 1), (5, 5, 0, 1), (49, 51, 0, 10),
-    (5, 0, 1000, 0), (5, 0, 1001, 1), (5, 0, 3000, 1), (5, 0, 3001, 10), (0, 5, 3001, 20),
-])
+@pytest.mark.parametrize(
+    ("stood", "lost", "delay", "score"),
+    [
+        (0, 4, 0, 0),
+        (0, 5, 0, 10),  # fewer than five set-ups score 0
+        (8, 2, 0, 0),
+        (79, 21, 0, 1),
+        (5, 5, 0, 1),
+        (49, 51, 0, 10),
+        (5, 0, 1000, 0),
+        (5, 0, 1001, 1),
+        (5, 0, 3000, 1),
+        (5, 0, 3001, 10),
+        (0, 5, 3001, 20),
+    ],
+)
 def test_route_score(stood: int, lost: int, delay: int, score: int) -> None:
     record = RouteRecord()
     for one in range(stood + lost):
         record.note(0, one < stood, delay * MS)
     assert record.score(9_999 * MS) == score
-    assert record.score(10_000 * MS) == 0             # the slot has rotated out
+    assert record.score(10_000 * MS) == 0  # the slot has rotated out
 
 
 def test_tandems_are_ranked_by_score_before_free_circuits() -> None:
@@ -76,20 +102,24 @@
     assert sent(agent.call(40, 10)) == ["x2"]
 
 
-@pytest.mark.parametrize(("stood", "back", "expected"), [
-    ([2], [], "x2"),                                  # seen to reach it, though another leg has more free
-    ([], [3], "x2"),
-    ([3], [3], "x2"),
-])
-def test_a_tandem_seen_to_reach_the_destination_goes_first(stood: list[int], back: list[int],
-                                                           expected: str) -> None:
+@pytest.mark.parametrize(
+    ("stood", "back", "expected"),
+    [
+        ([2], [], "x2"),  # seen to reach it, though another leg has more free
+        ([], [3], "x2"),
+        ([3], [3], "x2"),
+    ],
+)
+def test_a_tandem_seen_to_reach_the_destination_goes_first(
+    stood: list[int], back: list[int], expected: str
+) -> None:
     agent = Agent({1: 0, 2: 20})
     for one in stood:
         agent.free(5 - one, 0)
         agent.call(10, one)
         agent.stood(20, one, one)
         agent.free(5 - one, 30 if one == 2 else 20)
-    for one in back:                                  # a call in transit from there: it has no room itself
+    for one in back:  # a call in transit from there: it has no room itself
         agent.call(30, 10 + one, via=one, transit=True)
     assert sent(agent.call(40, 20)) == [expected]
 
@@ -104,11 +134,18 @@
     assert tried == [1, 12, 33, 74]
 
 
-@pytest.mark.parametrize(("size", "late", "way", "sends"), [
-    (30, 0, {}, 20), (30, 20, {}, 0), (0, 20, {}, 0), (0, 20, {"via": 3}, 20),
-])
-def test_calls_overflow_only_while_answers_come_in_time(size: int, late: int, way: dict[str, int],
-                                                        sends: int) -> None:
+@pytest.mark.parametrize(
+    ("size", "late", "way", "sends"),
+    [
+        (30, 0, {}, 20),
+        (30, 20, {}, 0),
+        (0, 20, {}, 0),
+        (0, 20, {"via": 3}, 20),
+    ],
+)
+def test_calls_overflow_only_while_answers_come_in_time(
+    size: int, late: int, way: dict[str, int], sends: int
+) -> None:
     """A pair without a group has no other way than a tandem: its calls go on, but not blindly."""
     agent = Agent({2: 0}, settings={"holding:line": 1000 * MS})
     for one in range(20):
@@ -155,15 +192,19 @@
     assert [one.patience for one in agent.call(100, 1) if isinstance(one, api.SetUp)] == [2990 * MS]
 
 
-@pytest.mark.parametrize(("call", "result", "effect", "resent"), [
-    ({}, "timeout", "safe", True),
-    ({}, "timeout", "unsafe", False),
-    ({"transit": True}, "timeout", "safe", False),
-    ({"patience": 1310}, "timeout", "safe", False),   # the release time would run past the abandon time
-    ({}, "reset", "safe", False),
-])
-def test_a_lost_set_up_is_tried_again_after_the_release(call: dict[str, Any], result: str, effect: str,
-                                                        resent: bool) -> None:
+@pytest.mark.parametrize(
+    ("call", "result", "effect", "resent"),
+    [
+        ({}, "timeout", "safe", True),
+        ({}, "timeout", "unsafe", False),
+        ({"transit": True}, "timeout", "safe", False),
+        ({"patience": 1310}, "timeout", "safe", False),  # the release time would run past the abandon time
+        ({}, "reset", "safe", False),
+    ],
+)
+def test_a_lost_set_up_is_tried_again_after_the_release(
+    call: dict[str, Any], result: str, effect: str, resent: bool
+) -> None:
     agent = Agent(settings={"effect:line": effect})
     lose_two(agent)
     actions = agent.call(1000, 1, 3, **call)
@@ -175,7 +216,7 @@
         return
     assert actions == [api.SetTimer(2350 * MS, "1")]
     assert sent(agent.at(2350, api.TimerDue("1"))) == ["x3"]
-    assert agent.at(2351, api.TimerDue("1")) == []    # a timer no longer wanted: never two tries out
+    assert agent.at(2351, api.TimerDue("1")) == []  # a timer no longer wanted: never two tries out
 
 
 def test_patience_is_the_callers_own_where_answers_are_slow() -> None:
@@ -213,10 +254,17 @@
     assert sent(agent.call(30, 2)) == ["y1"]
 
 
-@pytest.mark.parametrize(("cold", "role", "expected"), [
-    (1, "direct", 1), (0, "direct", 2), (1, "transit", 1), (3, "tandem", 1), (2, "direct", 4),
-    (1, "onward", 1),
-])
+@pytest.mark.parametrize(
+    ("cold", "role", "expected"),
+    [
+        (1, "direct", 1),
+        (0, "direct", 2),
+        (1, "transit", 1),
+        (3, "tandem", 1),
+        (2, "direct", 4),
+        (1, "onward", 1),
+    ],
+)
 def test_a_cold_exchange_gets_this_agents_share(cold: int, role: str, expected: int) -> None:
     """90 circuits held 10 s: 9 set-ups a second, times 2 x 0.3: 2.7 for the own agent, 0.9 for each other."""
     agent = Agent({1: 0, 2: 2} if role in ("tandem", "onward") else {}, settings={"cold_time": 140_000 * MS})
@@ -232,7 +280,7 @@
     assert try_four(1600, 20) == (4 if expected == 4 else 0)
     assert try_four(2500, 30) == expected
     assert try_four(139_000, 40) == (4 if cold == 0 else min(4, 2 * expected - 1))  # half of a steady growth
-    assert try_four(140_101, 50) == 4                 # warm
+    assert try_four(140_101, 50) == 4  # warm
 
 
 @pytest.mark.parametrize("agents", [6, 28, 68])
@@ -247,14 +295,15 @@
             if sent(agent.call(at, at)):
                 times.append(at)
                 agent.stood(at + 10, at, 1)
-    for at in times:                                  # starts are drawn: a window may hold twice the mean
+    for at in times:  # starts are drawn: a window may hold twice the mean
         grown = (0.3 + 0.35 * (at + 900) / 14_000) / 0.3
         assert sum(at <= other < at + 1000 for other in times) <= 2 * 2.7 * grown + 2
     assert len(times) >= 0.8 * 2.7 * 14
 
 
-@pytest.mark.parametrize(("result", "cause"), [("timeout", ""), ("full", "processor_full"),
-                                               ("connect_failed", "")])
+@pytest.mark.parametrize(
+    ("result", "cause"), [("timeout", ""), ("full", "processor_full"), ("connect_failed", "")]
+)
 def test_an_exchange_that_answers_full_or_not_at_all_gets_few_calls(result: str, cause: str) -> None:
     agent = Agent()
     for call in range(20):
@@ -265,21 +314,27 @@
     assert len(trials) <= 4
     for one in trials:
         agent.ended(13_000, one, 1, result, cause=cause)
-    assert sent(agent.call(40_000, 99)) == ["x1"]     # and reopens by itself
-
-
-@pytest.mark.parametrize(("how", "delay", "least", "most"), [
-    ("stood", 50, 39, 39), ("stood", 1400, 1, 8),
-    ("left", 700, 39, 39), ("left", 1400, 1, 15),     # who leaves early tells nothing, who leaves late does
-])
-def test_all_set_ups_are_held_while_many_answers_are_late(how: str, delay: int, least: int,
-                                                          most: int) -> None:
+    assert sent(agent.call(40_000, 99)) == ["x1"]  # and reopens by itself
+
+
+@pytest.mark.parametrize(
+    ("how", "delay", "least", "most"),
+    [
+        ("stood", 50, 39, 39),
+        ("stood", 1400, 1, 8),
+        ("left", 700, 39, 39),
+        ("left", 1400, 1, 15),  # who leaves early tells nothing, who leaves late does
+    ],
+)
+def test_all_set_ups_are_held_while_many_answers_are_late(
+    how: str, delay: int, least: int, most: int
+) -> None:
     """One late answer from each of many tells what none of them tells alone."""
     agent = Agent(settings={"agents": 40}, exchanges=40)
-    for one in range(200, 240):                       # its own window opens as answers come in time
+    for one in range(200, 240):  # its own window opens as answers come in time
         agent.call(0, one, one - 199 if one < 239 else 1)
         agent.stood(50, one, 1)
-    for one in range(240, 243):                       # and what is past has faded
+    for one in range(240, 243):  # and what is past has faded
         agent.call(one * 20, one, 1)
         agent.stood(one * 20 + 50 + 5000 * (one - 240), one, 1)
     first = [one for one in range(1, 40) if sent(agent.call(20_000, one, one))]
@@ -315,8 +370,11 @@
 
 
 def test_set_ups_out_are_limited_and_cheaper_calls_more() -> None:
-    rich: dict[str, Any] = {"bearer_types": ("line", "reel"),
-                            "gos_target:reel": 1500 * MS, "revenue:reel": 2.0}
+    rich: dict[str, Any] = {
+        "bearer_types": ("line", "reel"),
+        "gos_target:reel": 1500 * MS,
+        "revenue:reel": 2.0,
+    }
     sums = {}
     for kind in ("line", "reel"):
         agent = Agent(settings=rich)
@@ -364,42 +422,50 @@
     assert runs[0] == runs[1]
 
 
-@pytest.mark.parametrize(("result", "cause", "done", "safe", "unsafe"), [
-    ("served", "", True, [], []),
-    ("error", "", False, ["Block"], ["Abort"]),
-    ("full", "processor_full", False, ["Block"], ["Block"]),
-    ("timeout", "", False, ["SetTimer"], ["Abort"]),
-    ("connect_failed", "", False, ["Block"], ["Block"]),
-    ("reset", "", False, ["Block"], ["Abort"]),
-    ("cancelled", "", False, ["Block"], ["Abort"]),
-    ("moot", "processor_full", False, ["Block"], ["Block"]),
-])
+@pytest.mark.parametrize(
+    ("result", "cause", "done", "safe", "unsafe"),
+    [
+        ("served", "", True, [], []),
+        ("error", "", False, ["Block"], ["Abort"]),
+        ("full", "processor_full", False, ["Block"], ["Block"]),
+        ("timeout", "", False, ["SetTimer"], ["Abort"]),
+        ("connect_failed", "", False, ["Block"], ["Block"]),
+        ("reset", "", False, ["Block"], ["Abort"]),
+        ("cancelled", "", False, ["Block"], ["Abort"]),
+        ("moot", "processor_full", False, ["Block"], ["Block"]),
+    ],
+)
 @pytest.mark.parametrize("effect", ["safe", "unsafe"])
-def test_each_outcome_of_a_direct_try(result: str, cause: str, done: bool, effect: str, safe: list[str],
-                                      unsafe: list[str]) -> None:
+def test_each_outcome_of_a_direct_try(
+    result: str, cause: str, done: bool, effect: str, safe: list[str], unsafe: list[str]
+) -> None:
     agent = Agent({2: 0, 3: 0}, settings={"effect:line": effect})
     agent.call(0, 1)
     actions = agent.ended(50, 1, 1, result, cause=cause, done=done)
     names = [type(one).__name__ for one in actions if not isinstance(one, api.Log)]
     assert names == (safe if effect == "safe" else unsafe)
-    assert sent(agent.at(349, api.TimerDue("1"))) == []   # the release time is not over
-
-
-@pytest.mark.parametrize(("free", "end", "looked_at"), [
-    (None, None, False),                              # direct, and it has room: nobody else is looked at
-    ({1: 0}, None, True),
-    (None, ("moot", "no_circuit"), True),             # came back unsent: its tandems are wanted now
-    (None, ("full", "processor_full"), False),
-])
+    assert sent(agent.at(349, api.TimerDue("1"))) == []  # the release time is not over
+
+
+@pytest.mark.parametrize(
+    ("free", "end", "looked_at"),
+    [
+        (None, None, False),  # direct, and it has room: nobody else is looked at
+        ({1: 0}, None, True),
+        (None, ("moot", "no_circuit"), True),  # came back unsent: its tandems are wanted now
+        (None, ("full", "processor_full"), False),
+    ],
+)
 def test_tandems_are_ranked_only_when_a_call_is_blocked(
-        free: dict[int, int] | None, end: tuple[str, str] | None, looked_at: bool,
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    free: dict[int, int] | None, end: tuple[str, str] | None, looked_at: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     agent, plain = Agent(free, exchanges=20), Exchange.has_room
     looked: set[str] = set()
 
     def has_room(one: Exchange, circuits: int) -> bool:
         looked.add(one.name)
         return plain(one, circuits)
+
     monkeypatch.setattr(Exchange, "has_room", has_room)
     sends = sent(agent.call(10, 1))
     if end is not None:
@@ -408,18 +474,28 @@
     assert len(sends) == 1 + (looked_at and free is None)
 
 
-@pytest.mark.parametrize(("reported", "most"), [
-    (None, 10),       # 90 circuits over 10 s: 9 a second; 2 s, four times, 0.3 of it, half for the own agent
-    (9.0, 10),
-    (2.0, 2),         # the groups are larger than the processors: what these have reported bounds it
-])
+@pytest.mark.parametrize(
+    ("reported", "most"),
+    [
+        (None, 10),  # 90 circuits over 10 s: 9 a second; 2 s, four times, 0.3 of it, half for the own agent
+        (9.0, 10),
+        (2.0, 2),  # the groups are larger than the processors: what these have reported bounds it
+    ],
+)
 def test_the_cold_budget_is_bounded_by_what_processors_report(reported: float | None, most: int) -> None:
-    agent = Agent(settings={"fall_multiple": 4.0, "agents": 2, "holding:line": 10_000 * MS,
-                            "cold_time": 1_000_000 * MS, "fall_time": 2000 * MS})
+    agent = Agent(
+        settings={
+            "fall_multiple": 4.0,
+            "agents": 2,
+            "holding:line": 10_000 * MS,
+            "cold_time": 1_000_000 * MS,
+            "fall_time": 2000 * MS,
+        }
+    )
     agent.at(5, api.Listed("delta", (api.Entry("x0", 0, "ready", 5 * MS),)))
     if reported is not None:
         agent.at(6, api.Reported("x2", "served", 0, {"rate": reported}))
-    agent.controller._home.numbers[0].told_at = -(1 << 60)     # the drawn start of its window is long past
+    agent.controller._home.numbers[0].told_at = -(1 << 60)  # the drawn start of its window is long past
     sends = 0
     for call in range(40):
         sends += len(sent(agent.call(10 + call, call, to=1 + call % 3)))
@@ -433,14 +509,18 @@
     assert 6 <= len([one for one in range(1, 40) if sent(agent.call(0, one, one))]) <= 10
 
 
-@pytest.mark.parametrize(("came", "marked", "late_revenue", "least", "most"), [
-    (1600, False, 0.1, 0, 8),                         # past the GoS target of 1.5 s since its first try
-    (1600, True, 0.1, 0, 8),
-    (1600, False, 1.0, 20, 40),                       # a bearer type that is worth as much late
-    (1400, False, 0.1, 20, 40),                       # it may still stand in time
-])
-def test_a_further_try_that_is_late_weighs_its_late_revenue(came: int, marked: bool, late_revenue: float,
-                                                            least: int, most: int) -> None:
+@pytest.mark.parametrize(
+    ("came", "marked", "late_revenue", "least", "most"),
+    [
+        (1600, False, 0.1, 0, 8),  # past the GoS target of 1.5 s since its first try
+        (1600, True, 0.1, 0, 8),
+        (1600, False, 1.0, 20, 40),  # a bearer type that is worth as much late
+        (1400, False, 0.1, 20, 40),  # it may still stand in time
+    ],
+)
+def test_a_further_try_that_is_late_weighs_its_late_revenue(
+    came: int, marked: bool, late_revenue: float, least: int, most: int
+) -> None:
     through = 0
     for seed in range(40):
         agent = Agent(seed=seed, settings={"late_revenue:line": late_revenue, "abandon_time:line": 9000 * MS})
@@ -448,7 +528,7 @@
         assert answers(agent.call(0, 1, 1, number="n")) == ["Block"]
         agent.state(10, 1, "ready")
         agent.call(came, 2, 1)
-        agent.call(came, 3, 1)                        # two of the window of four are out
+        agent.call(came, 3, 1)  # two of the window of four are out
         through += len(sent(agent.call(came, 4, 1, number="n", repeat=marked)))
     assert least <= through <= most
 
@@ -464,19 +544,20 @@
 def test_who_may_stand_in_time_comes_back_soon_and_who_is_late_in_a_slot() -> None:
     settings = {"abandon_time:line": 20_000 * MS, "come_back_limit": 5000 * MS}
     agent = Agent(settings=settings)
-    for call in range(1000, 1030):                    # thirty have stood lately: a slot a second
+    for call in range(1000, 1030):  # thirty have stood lately: a slot a second
         agent.call(0, call)
         agent.stood(50, call, 1)
     agent.state(100, 1, "draining")
     soon = come_backs(agent, 1000, range(100))
     assert min(soon) >= 400 and max(soon) <= 600 and len(set(soon)) > 50
     late = []
-    for call in range(300, 310):                      # each a caller whose first try was two seconds ago
+    for call in range(300, 310):  # each a caller whose first try was two seconds ago
         late += come_backs(agent, 3000, range(call, call + 1), number=f"n{call - 280}")
     slots = late[:4]
-    assert slots == sorted(slots) and all(500 <= gap <= 1500 for gap in
-                                          (slots[at + 1] - slots[at] for at in range(3)))
-    assert max(late) <= 5000 and min(late) >= 400     # the rest anywhere up to the limit
+    assert slots == sorted(slots) and all(
+        500 <= gap <= 1500 for gap in (slots[at + 1] - slots[at] for at in range(3))
+    )
+    assert max(late) <= 5000 and min(late) >= 400  # the rest anywhere up to the limit
 
 
 def test_held_at_the_door_a_call_is_only_told_when_to_come_back() -> None:
@@ -486,13 +567,14 @@
 
 
 @pytest.mark.parametrize(("late", "least", "most"), [(True, 5, 10), (False, 45, 60)])
-def test_further_route_tries_have_a_budget_where_answers_are_late(monkeypatch: pytest.MonkeyPatch, late: bool,
-                                                                  least: int, most: int) -> None:
-    monkeypatch.setattr(Home, "FURTHER", 0.0)         # what was saved up at the start is all there is
+def test_further_route_tries_have_a_budget_where_answers_are_late(
+    monkeypatch: pytest.MonkeyPatch, late: bool, least: int, most: int
+) -> None:
+    monkeypatch.setattr(Home, "FURTHER", 0.0)  # what was saved up at the start is all there is
     agent = Agent({1: 0}, exchanges=6)
     further = 0
     for call in range(60):
-        for other in range(10):                       # a tenth of them late
+        for other in range(10):  # a tenth of them late
             agent.call(call * 20_000 - 3000, 1000 + other, 2)
             agent.stood(call * 20_000 - 2000, 1000 + other, 2, 1000 if late and other == 9 else 100)
         ways = sent(agent.call(call * 20_000, call, 1))
@@ -531,13 +613,17 @@
     assert len(home.records) <= 1
 
 
-@pytest.mark.parametrize(("transit", "free", "ways"), [
-    (False, {1: 10, 2: 20, 3: 30}, ["x3", "x2"]),  # its caller's own agent is away
-    (False, {1: 0, 2: 0, 3: 0}, []),
-    (True, {}, []),                                # nobody sends a call on to where it is
-])
-def test_a_call_for_the_own_exchange_goes_over_a_tandem(transit: bool, free: dict[int, int],
-                                                        ways: list[str]) -> None:
+@pytest.mark.parametrize(
+    ("transit", "free", "ways"),
+    [
+        (False, {1: 10, 2: 20, 3: 30}, ["x3", "x2"]),  # its caller's own agent is away
+        (False, {1: 0, 2: 0, 3: 0}, []),
+        (True, {}, []),  # nobody sends a call on to where it is
+    ],
+)
+def test_a_call_for_the_own_exchange_goes_over_a_tandem(
+    transit: bool, free: dict[int, int], ways: list[str]
+) -> None:
     agent = Agent(free)
     actions = agent.call(0, 1, to=0, transit=transit, via=1 if transit else -1)
     for way in ways:
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -7,13 +7,17 @@
 from peattrestle.wirehost.host import Host, main
 from peattrestle.wirehost.parse import Line, Malformed, settings
 
-BOOT = ('{"StepUs": 5000, "NInstances": 2, "New": {"x": 1}, "Caps": {"AttemptsCap": 6},'
-        ' "Classes": [{"Name": "line", "AimUs": 1500000, "Worth": 1, "Semantics": "read_like"}],'
-        ' "FamilyInfo": {"OwnNumber": 0, "ClearWaitUs": 300000, "HoldingUs": [10000000]},'
-        ' "Report": {"Fields": ["free", "size", "pending", "can_take"]}}')
-START = ("turn SimTimeUs=1000\nenlist Agent=0 Nonce64=5 BootInfo=" + BOOT + "\n"
-         "census SetId=0 NodesList=2\nm Exchange=a:1 PointCode=0 Availability=1\n"
-         "m Availability=1 Odd=3 PointCode=1 Exchange=b:1\nannounce Agent=0 Form=1 Index=1 SetId=0\n")
+BOOT = (
+    '{"StepUs": 5000, "NInstances": 2, "New": {"x": 1}, "Caps": {"AttemptsCap": 6},'
+    ' "Classes": [{"Name": "line", "AimUs": 1500000, "Worth": 1, "Semantics": "read_like"}],'
+    ' "FamilyInfo": {"OwnNumber": 0, "ClearWaitUs": 300000, "HoldingUs": [10000000]},'
+    ' "Report": {"Fields": ["free", "size", "pending", "can_take"]}}'
+)
+START = (
+    "turn SimTimeUs=1000\nenlist Agent=0 Nonce64=5 BootInfo=" + BOOT + "\n"
+    "census SetId=0 NodesList=2\nm Exchange=a:1 PointCode=0 Availability=1\n"
+    "m Availability=1 Odd=3 PointCode=1 Exchange=b:1\nannounce Agent=0 Form=1 Index=1 SetId=0\n"
+)
 CALL = "call Agent=0 Id=9 Band=line ValidUntilUs=3000000 CalledNode=1 Units=1 Item=n\n"
 
 
@@ -23,34 +27,46 @@
     return sink.getvalue()
 
 
-@pytest.mark.parametrize(("events", "reply"), [
-    ("", ""),
-    (CALL, "issue Agent=0 Id=9 Exchange=b:1 MaxWaitUs=2989000\n"),
-    ("unheard Agent=0 Of=1\n" + CALL, "issue Agent=0 Id=9 Exchange=b:1 MaxWaitUs=2989000\n"),
-    ("probe_done Agent=0 Exchange=b:1 Result=served RttUs=0 Pressure=0,30,-1,-1\n" + CALL,
-     "say_no Agent=0 Id=9 StayAwayUs=0\n"),
-    ("detach Agent=0\nenlist Agent=0 Nonce64=5 BootInfo=" + BOOT + "\n" + CALL,   # starts from nothing
-     "say_no Agent=0 Id=9 StayAwayUs=0\n"),
-    ("detach Agent=0\n" + CALL, ""),
-    ("census SetId=0 NodesList=1\nm Exchange=c:1 PointCode=1 Availability=1\n"      # the same number again
-     "announce Agent=0 Form=4 Index=2 SetId=0\n" + CALL,
-     "issue Agent=0 Id=9 Exchange=c:1 MaxWaitUs=2989000\n"),
-])
+@pytest.mark.parametrize(
+    ("events", "reply"),
+    [
+        ("", ""),
+        (CALL, "issue Agent=0 Id=9 Exchange=b:1 MaxWaitUs=2989000\n"),
+        ("unheard Agent=0 Of=1\n" + CALL, "issue Agent=0 Id=9 Exchange=b:1 MaxWaitUs=2989000\n"),
+        (
+            "probe_done Agent=0 Exchange=b:1 Result=served RttUs=0 Pressure=0,30,-1,-1\n" + CALL,
+            "say_no Agent=0 Id=9 StayAwayUs=0\n",
+        ),
+        (
+            "detach Agent=0\nenlist Agent=0 Nonce64=5 BootInfo=" + BOOT + "\n" + CALL,  # starts from nothing
+            "say_no Agent=0 Id=9 StayAwayUs=0\n",
+        ),
+        ("detach Agent=0\n" + CALL, ""),
+        (
+            "census SetId=0 NodesList=1\nm Exchange=c:1 PointCode=1 Availability=1\n"  # the same number again
+            "announce Agent=0 Form=4 Index=2 SetId=0\n" + CALL,
+            "issue Agent=0 Id=9 Exchange=c:1 MaxWaitUs=2989000\n",
+        ),
+    ],
+)
 def test_a_batch_and_its_reply(events: str, reply: str) -> None:
     assert play(START + events + "go\n") == reply + "ack\n"
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    (START + "call Agent=0 nonsense Id=9\ngo\n", "not name=value"),
-    (START + "call Agent=0 Id=nine ValidUntilUs=1 CalledNode=1\ngo\n", "not a whole number"),
-    (START + "call Agent=0 Id=9 CalledNode=1\ngo\n", "ValidUntilUs is missing"),
-    (START + "probe_done Agent=0 Exchange=b:1 Pressure=1,x\ngo\n", "row of numbers"),
-    (START + "announce Agent=0 Form=4 Index=2 SetId=7\ngo\n", "never given"),
-    (START, "ends within a batch"),
-    (START + "go", "ends within a batch"),
-    ("turn SimTimeUs=1\nenlist Agent=0 BootInfo={\ngo\n", "not JSON"),
-    ("turn SimTimeUs=1\nenlist Agent=0 BootInfo=[]\ngo\n", "not a JSON object"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (START + "call Agent=0 nonsense Id=9\ngo\n", "not name=value"),
+        (START + "call Agent=0 Id=nine ValidUntilUs=1 CalledNode=1\ngo\n", "not a whole number"),
+        (START + "call Agent=0 Id=9 CalledNode=1\ngo\n", "ValidUntilUs is missing"),
+        (START + "probe_done Agent=0 Exchange=b:1 Pressure=1,x\ngo\n", "row of numbers"),
+        (START + "announce Agent=0 Form=4 Index=2 SetId=7\ngo\n", "never given"),
+        (START, "ends within a batch"),
+        (START + "go", "ends within a batch"),
+        ("turn SimTimeUs=1\nenlist Agent=0 BootInfo={\ngo\n", "not JSON"),
+        ("turn SimTimeUs=1\nenlist Agent=0 BootInfo=[]\ngo\n", "not a JSON object"),
+    ],
+)
 def test_malformed_input_is_told_plainly(text: str, says: str) -> None:
     with pytest.raises(Malformed, match=says):
         play(text)
@@ -70,13 +86,22 @@
     assert (line.whole("Agent"), line.text("BootInfo")) == (3, '{"a": "b c=d"}')
 
 
-@pytest.mark.parametrize(("text", "code", "out", "err"), [
-    (START + "go\n", 0, "ack\n", ""),
-    (START + "call Agent=0 Id=x\ngo\n", 2, "", "wirehost: line 7: Id=x is not a whole number\n"),
-    (START + CALL + "go\n", 1, "die Agent=0 BodyText=ValueError: broken at line ", ""),
-])
-def test_how_it_ends(text: str, code: int, out: str, err: str, monkeypatch: pytest.MonkeyPatch,
-                     capsys: pytest.CaptureFixture[str]) -> None:
+@pytest.mark.parametrize(
+    ("text", "code", "out", "err"),
+    [
+        (START + "go\n", 0, "ack\n", ""),
+        (START + "call Agent=0 Id=x\ngo\n", 2, "", "wirehost: line 7: Id=x is not a whole number\n"),
+        (START + CALL + "go\n", 1, "die Agent=0 BodyText=ValueError: broken at line ", ""),
+    ],
+)
+def test_how_it_ends(
+    text: str,
+    code: int,
+    out: str,
+    err: str,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     def fail(self: object, asked: object) -> None:
         raise ValueError("broken")
 
