A release lost with its connection is sent once more on another one

What callers saw: a call that was over stayed up at the caller, or at the exchange until its time. Cause: Agent.send_release and Link.send (platform/agent.py, link.py) took a release as delivered once it was written. A connection that is cut off takes bytes for up to 1.3 s before it is given up, and a reset throws unread ones away. They go out on the connection that spoke last.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -23,6 +23,7 @@
 from peattrestle.platform.connections import Caller, CallerConnections
 from peattrestle.platform.follow import Follower
 from peattrestle.platform.link import LANES, Lane, Link
+from peattrestle.platform.releases import CallerReleases
 from peattrestle.platform.shutdown import carry_out
 from peattrestle.policy.shutdown import ShutdownPlan, pause
 from peattrestle.runtime import Coroutine, Kernel
@@ -89,9 +90,8 @@
         self.links: dict[str, Link] = {}
         self.sizes: dict[str, float] = {}
         self.connections = CallerConnections(kernel, self, self.counts, log, self.most_callers)
-        self.latest: Caller | None = None
-        self.owed_releases: deque[tuple[int, bytes]] = deque()
-        self.owed_finishes: dict[str, deque[bytes]] = {}
+        self.releases = CallerReleases(kernel, self.connections.held)
+        self.owed_finishes: dict[str, deque[tuple[str, bytes]]] = {}
         self.ended_at: OrderedDict[tuple[str, str], int] = OrderedDict()
         self.ready = False
         self.shutdown: ShutdownPlan | None = None
@@ -258,8 +258,7 @@
 
     def connection_ended(self, caller: Caller) -> None:
         """What is open on it needs no answer any more."""
-        if self.latest is caller:
-            self.latest = None
+        self.releases.connection_ended(caller)
         for call in list(caller.open.values()):
             self.counts.add("left")
             self.caller_left(call)
@@ -286,7 +285,10 @@
             case "OPTIONS":
                 passed = self.ready and self.shutdown is None
                 caller.stream.write(sip.answer(200 if passed else 503, message.fields))
-            case "ACK" | "NOTIFY" | "":
+            case "":
+                if message.status and message.fields.get("cseq", "").endswith("BYE"):
+                    self.releases.confirmed(message.call_id)
+            case "ACK" | "NOTIFY":
                 pass
             case _:
                 caller.stream.write(sip.answer(501, message.fields))
@@ -370,20 +372,8 @@
         self.forget(call)
 
     def send_release(self, call: SipCall, cause: int) -> None:
-        """On its own connection, else on the last one on which a call stood, else on the next such one: who
-        only sends what can't be used is no way to the callers."""
         data = sip.bye(call.asked.tag, call.asked.number, self.config.name, cause)
-        caller = call.caller if call.caller in self.connections.held else self.latest
-        if caller is not None:
-            caller.stream.write(data)
-            return
-        if len(self.owed_releases) >= MOST_OWED:
-            self.owed_releases.popleft()
-        self.owed_releases.append((self.kernel.now(), data))
-
-    def pay(self, caller: Caller) -> None:
-        while self.owed_releases:
-            caller.stream.write(self.owed_releases.popleft()[1])
+        self.releases.send(call.asked.tag, data, call.caller)
 
     # What the core asks of a front.
 
@@ -406,9 +396,14 @@
         there = self.standing.get(one.exchange, {})
         if there.pop(tag, None) is not None and not there:
             del self.standing[one.exchange]
-        data = lines.release(tag, one.call.released)
-        if tell and not link.send(data) and not link.retired:
-            self.owed_finishes.setdefault(one.exchange, deque(maxlen=MOST_OWED)).append(data)
+        if tell:
+            self.release_at(link, tag, lines.release(tag, one.call.released))
+
+    def release_at(self, link: Link, tag: str, data: bytes) -> None:
+        """Tells the exchange that a call that stands there is released, now or on the next connection."""
+        if not link.release(tag, data) and not link.retired:
+            owed = self.owed_finishes.setdefault(link.exchange, deque(maxlen=MOST_OWED))
+            owed.append((tag, data))
 
     def reply(self, call: SipCall, final: Final) -> None:
         self.counts.add(("transit_" if call.asked.transit else "") + final.kind)
@@ -424,9 +419,8 @@
             data = sip.answer(mapping.OWN_FAULT if final.own_fault else mapping.FAILED, call.fields)
         caller.stream.write(data)
         caller.open.pop(call.asked.tag, None)
-        if final.kind == STOOD and caller in self.connections.held:
-            self.latest = caller
-            self.pay(caller)
+        if final.kind == STOOD:
+            self.releases.stood_on(caller)
         self.connections.close_if_done(caller)
         call.fields, call.description = {}, ""
 
@@ -460,13 +454,15 @@
                 self.try_over(link.tries[tag], "connect_failed", tell=False, cut_off=False)
             else:
                 link.set_up(link.tries[tag], tag, data)
-        for data in self.owed_finishes.pop(link.exchange, ()):
-            link.send(data)
+        for tag, data in self.owed_finishes.pop(link.exchange, ()):
+            link.release(tag, data)
 
-    def link_lost(self, link: Link, tries: list[Try], why: str) -> None:
+    def link_lost(self, link: Link, tries: list[Try], unconfirmed: list[tuple[str, bytes]], why: str) -> None:
         self.log("warning", "connection lost", exchange=link.exchange, why=why, route_tries=len(tries))
         self.counts.add("connections_lost")
         self.not_sent(link)
+        for tag, data in unconfirmed:
+            self.release_at(link, tag, data)
         for one in tries:
             self.try_over(one, "reset", tell=False, cut_off=True)
         if link.retired and not link.up:
@@ -519,6 +515,8 @@
                 self.try_over(one, result, tell=False, cut_off=result == "reset", cause=cause, load=load)
                 return
             self.ended_there(link, line)
+        elif verb == "FINISHED":
+            link.unconfirmed.pop(line.tag, None)
         elif verb == "ECHO":
             lane.write(lines.test_passed(line.tag))
         if load:
@@ -545,7 +543,7 @@
                     self.drop_link(link)
                 elif now - link.alive_at > UNREACHED:
                     self.lose_all(name)
-            while self.owed_releases and self.owed_releases[0][0] < now - ENDED_KEPT:
-                self.owed_releases.popleft()
+                link.forget_unconfirmed(now)
+            self.releases.expire(now)
             while self.ended_at and next(iter(self.ended_at.values())) < now - ENDED_KEPT:
                 self.ended_at.popitem(last=False)
--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -32,7 +32,17 @@
 class Caller:
     """One connection; `open` are the calls on it that await their answer."""
 
-    __slots__ = ("stream", "reader", "open", "came_at", "unfinished_at", "spoken", "ending", "discarded")
+    __slots__ = (
+        "stream",
+        "reader",
+        "open",
+        "came_at",
+        "unfinished_at",
+        "spoken",
+        "ending",
+        "discarded",
+        "was_reset",
+    )
 
     def __init__(self, stream: Stream, now: int) -> None:
         self.stream, self.reader = stream, sip.Reader()
@@ -41,6 +51,7 @@
         self.spoken = False  # a whole message has come
         self.ending = ""  # why nothing more is taken from it
         self.discarded = 0
+        self.was_reset = False  # what was written last may not have been read
 
     def late(self, now: int) -> bool:
         """It owes the rest of a message, or a first one, for too long."""
@@ -121,12 +132,14 @@
                     self.take(caller, data)
                 if stream.unsent > MOST_UNSENT:
                     why = f"it left {stream.unsent} bytes unread"
+                    caller.was_reset = True
                     stream.abort()
                     break
                 if len(data) == READ_SIZE:
                     yield from self.kernel.sleep(0)  # one that sends without end leaves others their turn
         except Lost as fault:
             why = str(fault)
+            caller.was_reset = True
         finally:
             self.gone(caller, caller.ending or why)
             self.lingering.pop(caller, None)
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from peattrestle.exchangeline import lines
@@ -31,13 +32,16 @@
 SILENT = 300 * MS  # none for so long after a test: it is given up
 MISSED, MISSED_QUIET, MISSED_SILENT = 4, 50 * MS, 150 * MS  # where the other connection hears reports
 MOST_UNREAD = 262_144
+UNCONFIRMED_FOR = 3_000 * MS  # longer than a silent connection goes unnoticed
 
 
 class Owner(Protocol):
     """What a link tells the agent."""
 
     def link_up(self, link: Link) -> None: ...
-    def link_lost(self, link: Link, tries: list[Try], why: str) -> None: ...
+    def link_lost(
+        self, link: Link, tries: list[Try], unconfirmed: list[tuple[str, bytes]], why: str
+    ) -> None: ...
     def link_refused(self, link: Link, gone: bool) -> None: ...
     def link_heard(self, link: Link, lane: Lane, line: lines.Line) -> None: ...
 
@@ -150,9 +154,19 @@
             yield from self.kernel.sleep(left if left > 0 else QUIET_LEAST)
 
 
+@dataclass(slots=True, frozen=True)
+class Unconfirmed:
+    """A release written to `lane` at `at`, of which the exchange has not said that it heard it."""
+
+    lane: Lane
+    data: bytes
+    at: int
+
+
 class Link:
     """`tries`: the set-ups out there, by the call's id on the wire; `waiting`: those that wait for a
-    connection, with their bytes. `address` is where the next is made; `alive_at`: the last sign of life."""
+    connection, with their bytes; `unconfirmed`: releases that the exchange has not said it heard.
+    `address` is where the next connection is made; `alive_at`: the last sign of life."""
 
     def __init__(self, kernel: Kernel, owner: Owner, exchange: str, address: str, dial_timeout: int) -> None:
         self.kernel, self.owner, self.exchange, self.address = kernel, owner, exchange, address
@@ -160,6 +174,7 @@
         self.failed = self.closing = self.retired = False
         self.tries: dict[str, Try] = {}
         self.waiting: dict[str, bytes] = {}
+        self.unconfirmed: dict[str, Unconfirmed] = {}
         self.alive_at = kernel.now()
         self.lanes = [Lane(self, place) for place in range(LANES)]
 
@@ -199,7 +214,11 @@
 
     def lost(self, lane: Lane, why: str) -> None:
         lane.out = 0
-        self.owner.link_lost(self, [one for one in self.tries.values() if one.lane is lane], why)
+        tries = [one for one in self.tries.values() if one.lane is lane]
+        lost = [(tag, one.data) for tag, one in self.unconfirmed.items() if one.lane is lane]
+        for tag, _ in lost:
+            del self.unconfirmed[tag]
+        self.owner.link_lost(self, tries, lost, why)
 
     def set_up(self, one: Try, tag: str, data: bytes) -> None:
         """On the connection with the fewest out, of those the one that spoke last; else it waits."""
@@ -222,13 +241,23 @@
             one.lane.out = max(0, one.lane.out - 1)
             one.lane.write(data)
 
-    def send(self, data: bytes) -> bool:
-        """On any connection; False where there is none."""
-        for lane in self.lanes:
-            if lane.up:
-                lane.write(data)
-                return True
-        return False
+    def release(self, tag: str, data: bytes) -> bool:
+        """The release of a call that stands, on the connection that spoke last; False where there is none.
+
+        A connection that is cut off takes bytes for a while that nobody reads, so the release is kept until
+        the exchange has heard it, and handed back when the connection is lost before."""
+        lanes = [lane for lane in self.lanes if lane.up]
+        if not lanes:
+            return False
+        lane = max(lanes, key=lambda one: one.alive_at)
+        lane.write(data)
+        self.unconfirmed[tag] = Unconfirmed(lane, data, self.kernel.now())
+        return True
+
+    def forget_unconfirmed(self, now: int) -> None:
+        """An exchange need not say that it heard a release."""
+        for tag in [tag for tag, one in self.unconfirmed.items() if one.at < now - UNCONFIRMED_FOR]:
+            del self.unconfirmed[tag]
 
     def close(self) -> None:
         self.closing = True
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -668,7 +668,7 @@
         caller.stream.close()
     town.pass_time(1000)
     town.at_rest()
-    assert not town.agent.connections.held and not town.agent.owed_releases
+    assert not town.agent.connections.held and not town.agent.releases.owed
     assert not town.agent.ended_at
 
 
