--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -27,6 +27,7 @@
 from peattrestle.platform.shutdown import carry_out
 from peattrestle.policy.shutdown import ShutdownPlan, pause
 from peattrestle.runtime import Coroutine, Kernel
+from peattrestle.runtime.supervise import supervised
 from peattrestle.sip import text as sip
 
 MS = 1_000_000
@@ -109,7 +110,7 @@
             self.told(change)
         self.follower = Follower(self.kernel, self.state, self.config.feed, self.told, self.log)
         self.kernel.spawn(self.settle(), "settle")
-        self.kernel.spawn(self.sweep(), "sweep")
+        self.kernel.spawn(supervised(self.kernel, self.sweep, "sweep"), "sweep")
 
     def settle(self) -> Coroutine[None]:
         until = self.kernel.now() + SETTLE
--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -13,6 +13,7 @@
 
 from peattrestle.calls.core import Counts, Log
 from peattrestle.runtime import Coroutine, Kernel, Listener, Lost, Stream
+from peattrestle.runtime.supervise import supervised
 from peattrestle.sip import text as sip
 
 if TYPE_CHECKING:
@@ -84,7 +85,8 @@
     def listen(self, address: str) -> None:
         """Raises OSError where it can't listen."""
         self.listener = self.kernel.listen(address)
-        self.kernel.spawn(self.accept(self.listener), "callers")
+        listener = self.listener
+        self.kernel.spawn(supervised(self.kernel, lambda: self.accept(listener), "callers"), "callers")
 
     def accept(self, listener: Listener) -> Coroutine[None]:
         while True:
--- a/peattrestle/platform/follow.py
+++ b/peattrestle/platform/follow.py
@@ -9,6 +9,7 @@
 from peattrestle.feed.sse import BadFeed, Events
 from peattrestle.feed.state import AskAgain, Change, State
 from peattrestle.runtime import Coroutine, Kernel, Lost, Refused, Stream, Task
+from peattrestle.runtime.supervise import supervised
 
 MS = 1_000_000
 RETRY_LEAST, RETRY_MOST = 50 * MS, 1000 * MS
@@ -33,7 +34,7 @@
         self.stream: Stream | None = None
         self.heard_at = 0
         self.moved = False
-        self.task: Task[None] = kernel.spawn(self.run(), "feed")
+        self.task: Task[None] = kernel.spawn(supervised(kernel, self.run, "feed"), "feed")
 
     def move(self, address: str) -> None:
         """The feed is elsewhere from now on; the numbers go on."""
@@ -53,9 +54,11 @@
                 why = str(fault)
             else:
                 self.stream = stream
-                why = "moved" if self.moved else (yield from self.read(stream))
-                stream.abort()
-                self.stream = None
+                try:
+                    why = "moved" if self.moved else (yield from self.read(stream))
+                finally:
+                    stream.abort()
+                    self.stream = None
             if self.moved:
                 wait = RETRY_LEAST
                 continue
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -19,6 +19,7 @@
 
 from peattrestle.exchangeline import lines
 from peattrestle.runtime import Coroutine, Kernel, Lost, Refused, Stream
+from peattrestle.runtime.supervise import supervised
 
 if TYPE_CHECKING:
     from peattrestle.platform.agent import Try
@@ -60,7 +61,8 @@
         self.start()
 
     def start(self) -> None:
-        self.task = self.kernel.spawn(self.run(), f"link {self.link.exchange}")
+        name = f"link {self.link.exchange}"
+        self.task = self.kernel.spawn(supervised(self.kernel, self.run, name), name)
 
     @property
     def up(self) -> bool:
@@ -78,17 +80,26 @@
                 link.failed = True
                 link.owner.link_refused(link, "ECONNREFUSED" in str(fault))
             else:
-                why = "not wanted any more" if link.ending else (yield from self.converse(stream))
-                stream.abort()
-                spoke, self.stream, self.spoke = self.spoke, None, False
-                link.failed = link.failed or not spoke
-                link.lost(self, why)
+                try:
+                    why = "not wanted any more" if link.ending else (yield from self.converse(stream))
+                except Exception:
+                    self.lost(stream, "a fault of this program")
+                    raise
+                spoke = self.lost(stream, why)
             if spoke and self.kernel.now() - began > RETRY_MOST:
                 wait = RETRY_LEAST
             elif not link.ending:
                 yield from self.kernel.sleep(round(wait * (1 + self.draw.random()) / 2))
                 wait = min(2 * wait, RETRY_MOST)
 
+    def lost(self, stream: Stream, why: str) -> bool:
+        """The connection has ended; whether the exchange had spoken on it."""
+        stream.abort()
+        spoke, self.stream, self.spoke = self.spoke, None, False
+        self.link.failed = self.link.failed or not spoke
+        self.link.lost(self, why)
+        return spoke
+
     def converse(self, stream: Stream) -> Coroutine[str]:
         self.stream, self.spoke = stream, False
         self.alive_at, self.asked_at, self.missed = self.kernel.now(), 0, 0
