peattrestle agent run answers the calls it holds before it ends on SIGTERM

What callers saw: set-ups open at SIGTERM had no answer; the connections just ended. Cause: cli/main.py stopped the kernel in the signal's handler. Found by looking for it. Change: CallAgent.drain closes the port, refuses new calls at once and ends when no call awaits its answer; a second signal ends it at once, as before.

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import replace
 
 from peattrestle import interface as api
@@ -29,6 +30,7 @@
 from peattrestle.settings.agent import Agent as Settings
 
 MS = 1_000_000
+DRAIN_POLL = 10 * MS
 OWN_FAULT = Outcome(package.FAILED, text="fault of the agent")
 
 
@@ -79,6 +81,7 @@
         self.open_for_calls = Event(kernel)
         self.address = ""
         self.listener: Listener | None = None
+        self.draining = False
         self._holding = max(one.holding for one in settings.bearer)
         self._bearers = {one.label for one in settings.bearer}
 
@@ -105,7 +108,10 @@
         while True:
             while (wait := self.storms.accept_after()) > 0:
                 yield from self.kernel.sleep(wait)
-            stream = yield from listener.accept()
+            try:
+                stream = yield from listener.accept()
+            except Lost:
+                return
             if self.connections >= self.settings.limits.connections:
                 self.counts.add("connections_shed")
                 stream.close()
@@ -113,6 +119,24 @@
             self.connections += 1
             self.kernel.spawn(self.gateway(stream), f"gateway {stream.peer}")
 
+    def drain(self, ended: Callable[[], None]) -> None:
+        """Takes no connection and no call any more; `ended` is called when each call has its final answer."""
+        if self.draining:
+            return
+        self.draining = True
+        open_calls = sum(call.state == OPEN for call in self.calls.values())
+        self.log("info", "stopping", open=open_calls)
+        if self.listener is not None:
+            self.listener.close()
+        self.kernel.spawn(self.until_answered(ended), "drain")
+
+    def until_answered(self, ended: Callable[[], None]) -> Coroutine[None]:
+        """Each open call is answered by its abandon time, so this ends."""
+        while any(call.state == OPEN for call in self.calls.values()):
+            yield from self.kernel.sleep(DRAIN_POLL)
+        yield from self.kernel.sleep(DRAIN_POLL)  # the last answers go out
+        ended()
+
     def stop(self) -> None:
         """Gives up listening and links; the callers' connections end with the kernel."""
         if self.listener is not None:
@@ -181,8 +205,8 @@
             )
             return
         self.counts.add("transit_taken" if transit else "taken")
-        if len(self.calls) >= self.settings.limits.calls:
-            self.counts.add("refused_at_bound")
+        if self.draining or len(self.calls) >= self.settings.limits.calls:
+            self.counts.add("refused_in_shutdown" if self.draining else "refused_at_bound")
             self.counts.add("transit_refused" if transit else "refused")
             asker.reply(
                 number,
@@ -191,7 +215,7 @@
                     asked.termination,
                     Outcome(
                         package.REFUSED,
-                        text="as many calls as can be held",
+                        text="shutting down" if self.draining else "as many calls as can be held",
                         come_back=self.settings.rules.come_back_limit,
                     ),
                 ),
--- a/peattrestle/cli/main.py
+++ b/peattrestle/cli/main.py
@@ -76,7 +76,8 @@
 @click.argument("path", metavar="CONFIG")
 @click.option("--while-stdin", is_flag=True, help="End when standard input does: with whoever started this.")
 def agent_run(path: str, while_stdin: bool) -> None:
-    """Runs a call agent until SIGTERM or SIGINT; never starts on a faulty file."""
+    """Runs a call agent until SIGTERM or SIGINT, then until each call it holds is answered; a second signal
+    ends it at once. Never starts on a faulty file."""
     from peattrestle.agent.agent import CallAgent
     from peattrestle.agent.listing import FileStore, Store
     from peattrestle.cli.logs import logger
@@ -103,7 +104,14 @@
             kernel.stop()
 
     kernel.on_crash = crashed
-    kernel.on_signals((signal.SIGTERM, signal.SIGINT), lambda number: kernel.stop())
+
+    def signalled(number: int) -> None:
+        if running.draining:
+            kernel.stop()
+        else:
+            running.drain(kernel.stop)
+
+    kernel.on_signals((signal.SIGTERM, signal.SIGINT), signalled)
     if while_stdin:
         kernel.watch(0, lambda: kernel.stop() if not os.read(0, 4096) else None)
     running.start()
