--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -83,7 +83,9 @@
         self.own_number: int = settings["own_number"]
         self.come_back_limit: int = get("come_back_limit", 0)
         self.holding = max(settings[f"holding:{one}"] for one in config.bearer_types)
-        self.abandon_time = max(get(f"abandon_time:{one}", 0) for one in config.bearer_types)
+        self.longest_deadline = max(
+            get(f"abandon_time:{one}", 0) or settings[f"gos_target:{one}"] for one in config.bearer_types
+        )
         self.dial_timeout: int = get("dial_timeout", 500 * MS)
         self.tags: dict[str, SipCall] = {}
         self.standing: dict[str, dict[str, SipCall]] = {}
@@ -134,7 +136,7 @@
         may kill it."""
         if self.shutdown is not None:
             return
-        self.shutdown = ShutdownPlan.begin(self.kernel.now(), self.abandon_time)
+        self.shutdown = ShutdownPlan.begin(self.kernel.now(), self.longest_deadline)
         length = (self.shutdown.close_at - self.shutdown.began_at) // MS
         self.log("info", "stopping", calls=len(self.calls), ends_within_ms=length)
         self.kernel.spawn(carry_out(self, self.shutdown), "shutdown")
--- a/peattrestle/policy/shutdown.py
+++ b/peattrestle/policy/shutdown.py
@@ -30,8 +30,8 @@
 
     @classmethod
     def begin(cls, now: int, longest_deadline: int) -> ShutdownPlan:
-        """SIGTERM has come. `longest_deadline`: of all bearer types, in nanoseconds; 0 where none is set."""
-        counted = min(longest_deadline or LONGEST_DEADLINE, LONGEST_DEADLINE)
+        """SIGTERM has come. `longest_deadline`: of all bearer types, in nanoseconds."""
+        counted = min(longest_deadline, LONGEST_DEADLINE)
         close_at = now + counted + KILL_DELAY - CLOSE_BEFORE_KILL
         return cls(now, close_at - ANSWER_BEFORE_CLOSE, close_at)
 
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.platform.test_agent import Town, invite
+from tests.platform.test_agent import SETTINGS, Town, invite
 
 FIRST, SECOND_TAG = "00000000000000a1", "00000000000000a2"
 
@@ -32,3 +32,12 @@
     assert caller.statuses() == [408] and town.ended and caller.closed_at
     assert town.exchanges[1].verbs() == ["START", "FINISH"]
     town.at_rest()
+
+
+def test_a_class_without_a_deadline_counts_with_its_target() -> None:
+    classes = [{"Name": "line", "AimUs": 380_000, "Worth": 1.0, "Semantics": "read_like"}]
+    town = Town(settings=SETTINGS | {"Classes": classes})
+    town.agent.stop()
+    plan = town.agent.shutdown
+    assert plan is not None
+    assert plan.close_at < plan.began_at + (380 + 700) * 1_000_000
