--- a/peattrestle/trials/__main__.py
+++ b/peattrestle/trials/__main__.py
@@ -24,6 +24,7 @@
 def show(outcome: Outcome, timeline: bool) -> None:
     verdict = "passed" if outcome.passed else "FAILED"
     figures = f"{outcome.requests} requests, {outcome.stood} stood, {outcome.attempts} attempts"
+    figures += f", stand-ins {outcome.observer_lag // 1_000_000} ms late at most"
     print(f"seed {outcome.seed}: {verdict}, {figures}; {', '.join(outcome.troubles)}", flush=True)
     if outcome.fault:
         print(f"    could not be played: {outcome.fault}")
--- a/peattrestle/trials/record.py
+++ b/peattrestle/trials/record.py
@@ -116,6 +116,7 @@
     abusive_unanswered: list[str] = field(default_factory=list)
     unsolicited: list[str] = field(default_factory=list)
     notes: list[tuple[int, str]] = field(default_factory=list)
+    observer_lag: int = 0  # by how much the stand-ins were late at most: what they saw may be so much older
 
     def note(self, at: int, text: str) -> None:
         """An event of the trial itself, for the timeline."""
--- a/peattrestle/trials/soak.py
+++ b/peattrestle/trials/soak.py
@@ -24,6 +24,7 @@
     requests: int = 0
     stood: int = 0
     attempts: int = 0
+    observer_lag: int = 0
     troubles: list[str] = field(default_factory=list)
     breaches: list[Breach] = field(default_factory=list)
     timeline: list[str] = field(default_factory=list)
@@ -49,6 +50,7 @@
         trial.world.close()
     record = trial.world.record
     began = record.lives[0].started_at if record.lives else 0
+    outcome.observer_lag = record.observer_lag
     outcome.requests, outcome.attempts = len(record.requests), len(record.attempts)
     outcome.stood = sum(1 for one in record.requests.values() if one.answers and one.answers[0].status == 200)
     if outcome.passed:
--- a/peattrestle/trials/world.py
+++ b/peattrestle/trials/world.py
@@ -26,6 +26,7 @@
 NEW_CONNECTIONS_FOR = 400 * MS  # after SIGTERM
 RESTART_DELAY = 300 * MS
 FEED_PLACES = 3
+LAG_INTERVAL = 5 * MS
 
 
 def free_port() -> int:
@@ -49,6 +50,7 @@
         for number in range(deployment.exchanges):
             self.open_exchange(number, number)
         self.feed.publish(list(self.hosts.values()), whole=True)
+        self.kernel.spawn(self.measure_lag(), "lag")
         self.agents = [
             AgentProcess(self.kernel, self.record, deployment, agent, folder)
             for agent in range(deployment.agents)
@@ -66,6 +68,12 @@
 
     # Time.
 
+    def measure_lag(self) -> Coroutine[None]:
+        while True:
+            due = self.kernel.now() + LAG_INTERVAL
+            yield from self.kernel.sleep(LAG_INTERVAL)
+            self.record.observer_lag = max(self.record.observer_lag, self.kernel.now() - due)
+
     def run(self, length: int) -> None:
         self.kernel.run(self.kernel.now() + length)
 
