A feed that takes up to 4 s to answer a call is heard

What callers saw: calls to exchanges that had drained, for as long as discovery was slow. Cause: platform/follow.py gave each call up after 2.5 s without a byte, so a feed that needs 3 s was never heard. Change: the call after one that was given up may take 4 s.

--- a/peattrestle/platform/follow.py
+++ b/peattrestle/platform/follow.py
@@ -15,6 +15,7 @@
 RETRY_LEAST, RETRY_MOST = 50 * MS, 1000 * MS
 DIAL = 500 * MS
 SILENT = 2500 * MS  # a comment comes each second: without two of them it has stopped
+SLOW = 4000 * MS  # for the answer to a call after one that had none: the feed may be slow, not away
 PATH = "/v1/events"
 
 
@@ -33,6 +34,7 @@
         self.draw = kernel.chance("feed")
         self.stream: Stream | None = None
         self.heard_at = 0
+        self.patience = SILENT  # without a byte, before a call is given up
         self.moved = False
         self.task: Task[None] = kernel.spawn(supervised(kernel, self.run, "feed"), "feed")
 
@@ -90,6 +92,7 @@
                     if isinstance(event, h11.Response):
                         if event.status_code != 200:
                             return f"status {event.status_code}"
+                        self.patience = SILENT
                         self.log(
                             "info", "the control feed answers", address=self.address, last=self.state.last
                         )
@@ -107,8 +110,9 @@
 
     def keep(self, stream: Stream) -> Coroutine[None]:
         while True:
-            left = self.heard_at + SILENT - self.kernel.now()
+            left = self.heard_at + self.patience - self.kernel.now()
             if left <= 0:
+                self.patience = SLOW
                 stream.abort()
                 return
             yield from self.kernel.sleep(left)
