Names of the field in the platform's links and requests

Cause: Lane, LANES and Asked needed explaining. Change: LinkConnection, CONNECTIONS, SetUpRequest; callers.py, which reads what a caller asks for, is request.py. No behaviour changes. Result: tests of the platform pass.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -18,12 +18,12 @@
 from peattrestle.exchangeline import lines
 from peattrestle.feed.state import GONE, READY, Change, Member, State
 from peattrestle.platform import mapping
-from peattrestle.platform.callers import Asked, BadSetUp, read_set_up
 from peattrestle.platform.config import Config
 from peattrestle.platform.connections import Caller, CallerConnections
 from peattrestle.platform.follow import Follower
-from peattrestle.platform.link import LANES, Lane, Link
+from peattrestle.platform.link import CONNECTIONS, Link, LinkConnection
 from peattrestle.platform.releases import CallerReleases
+from peattrestle.platform.request import BadSetUp, SetUpRequest, read_set_up
 from peattrestle.platform.shutdown import carry_out
 from peattrestle.policy.shutdown import ShutdownPlan, pause
 from peattrestle.runtime import Coroutine, Kernel
@@ -43,17 +43,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class Try(RouteTry):
-    """`lane` is the connection it went out on, None while it waits for one."""
+    """`connection` is the connection it went out on, None while it waits for one."""
 
     link: Link
-    lane: Lane | None = None
+    connection: LinkConnection | None = None
 
 
 @dataclass(slots=True, kw_only=True)
 class SipCall(Call[Try]):
     """`caller` may be gone, and is None once the call is over. `fields`, `description` go with the answer."""
 
-    asked: Asked
+    asked: SetUpRequest
     caller: Caller | None
     fields: dict[str, str]
     description: str = ""
@@ -148,7 +148,7 @@
             self.log("info", "call given up", reference=call.asked.tag, why=why)
             self.give_up(call)
 
-    def refuses(self, asked: Asked, now: int) -> str:
+    def refuses(self, asked: SetUpRequest, now: int) -> str:
         """Why a set-up that comes now is refused at once; '' where it is taken."""
         if len(self.calls) >= MOST_CALLS:
             return "at the bound of calls held"
@@ -158,7 +158,7 @@
             return "too late in a shutdown"
         return ""
 
-    def refuse(self, caller: Caller, asked: Asked, fields: dict[str, str], why: str) -> None:
+    def refuse(self, caller: Caller, asked: SetUpRequest, fields: dict[str, str], why: str) -> None:
         get = self.config.settings.get
         target = get(f"gos_target:{asked.bearer_type}", 0)
         if self.shutdown is None:
@@ -223,7 +223,7 @@
         link.retired = True
         self.drop_link(link)
         for one in list(link.tries.values()):
-            waited = one.lane is None
+            waited = one.connection is None
             self.try_over(one, "connect_failed" if waited else "reset", tell=False, cut_off=not waited)
         self.lose_all(link.exchange)
 
@@ -257,7 +257,7 @@
     def most_callers(self) -> int:
         """Two thirds of the descriptors, or what the exchanges leave; a third in any case."""
         sockets = self.config.sockets
-        return max(sockets // 3, min(sockets * 2 // 3, sockets - OWN_SOCKETS - LANES * len(self.links)))
+        return max(sockets // 3, min(sockets * 2 // 3, sockets - OWN_SOCKETS - CONNECTIONS * len(self.links)))
 
     def connection_ended(self, caller: Caller) -> None:
         """What is open on it needs no answer any more."""
@@ -345,7 +345,7 @@
             ),
         )
 
-    def stands_already(self, caller: Caller, asked: Asked, now: int) -> None:
+    def stands_already(self, caller: Caller, asked: SetUpRequest, now: int) -> None:
         """A call that stands since before this agent started: only its release is to be passed on."""
         known = self.tags.get(asked.tag)
         if known is not None:
@@ -484,13 +484,13 @@
         if gone and not link.up:
             self.lose_all(link.exchange)
 
-    def link_heard(self, link: Link, lane: Lane, line: lines.Line) -> None:
+    def link_heard(self, link: Link, connection: LinkConnection, line: lines.Line) -> None:
         verb = line.verb
-        if verb == "LOAD" and lane is not link.first:
+        if verb == "LOAD" and connection is not link.first:
             return
         load = mapping.load(line.opts["load"]) if "load" in line.opts else {}
         one = link.tries.get(line.tag)
-        if one is not None and one.lane is not lane:
+        if one is not None and one.connection is not connection:
             one = None  # an answer to an earlier try of the same call
         if load:
             size = load.get("size", self.sizes.get(link.exchange, 0.0))
@@ -521,7 +521,7 @@
         elif verb == "FINISHED":
             link.unconfirmed.pop(line.tag, None)
         elif verb == "ECHO":
-            lane.write(lines.test_passed(line.tag))
+            connection.write(lines.test_passed(line.tag))
         if load:
             self.post(api.Reported(link.exchange, "served", 0, load))
 
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -25,7 +25,7 @@
     from peattrestle.platform.agent import Try
 
 MS = 1_000_000
-LANES = 2
+CONNECTIONS = 2
 RETRY_LEAST, RETRY_MOST = 40 * MS, 250 * MS
 GAP_FIRST = 100 * MS
 GAPS = 10  # of the usual length without a sign of life, within the two below: it is tested
@@ -44,10 +44,10 @@
         self, link: Link, tries: list[Try], unconfirmed: list[tuple[str, bytes]], why: str
     ) -> None: ...
     def link_refused(self, link: Link, gone: bool) -> None: ...
-    def link_heard(self, link: Link, lane: Lane, line: lines.Line) -> None: ...
+    def link_heard(self, link: Link, connection: LinkConnection, line: lines.Line) -> None: ...
 
 
-class Lane:
+class LinkConnection:
     """One connection, or the next one in its place. `out`: how many set-ups are out on it."""
 
     def __init__(self, link: Link, place: int) -> None:
@@ -167,9 +167,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Unconfirmed:
-    """A release written to `lane` at `at`, of which the exchange has not said that it heard it."""
+    """A release written to `connection` at `at`, of which the exchange has not said that it heard it."""
 
-    lane: Lane
+    connection: LinkConnection
     data: bytes
     at: int
 
@@ -187,18 +187,18 @@
         self.waiting: dict[str, bytes] = {}
         self.unconfirmed: dict[str, Unconfirmed] = {}
         self.alive_at = kernel.now()
-        self.lanes = [Lane(self, place) for place in range(LANES)]
+        self.connections = [LinkConnection(self, place) for place in range(CONNECTIONS)]
 
     @property
     def up(self) -> bool:
-        return any(lane.up for lane in self.lanes)
+        return any(connection.up for connection in self.connections)
 
     def revive(self, address: str) -> None:
         """The exchange is back, or elsewhere: connections are made again, from now on there."""
         self.address, self.retired = address, False
-        for lane in self.lanes:
-            if lane.task.done:
-                lane.start()
+        for connection in self.connections:
+            if connection.task.done:
+                connection.start()
 
     @property
     def ending(self) -> bool:
@@ -210,37 +210,37 @@
         return not self.failed and not self.ending
 
     @property
-    def first(self) -> Lane | None:
+    def first(self) -> LinkConnection | None:
         """The connection whose reports count: two would overtake one another."""
-        return next((lane for lane in self.lanes if lane.up), None)
+        return next((connection for connection in self.connections if connection.up), None)
 
-    def alive(self, lane: Lane, report: bool, fresh: bool) -> None:
-        self.alive_at, self.failed = lane.alive_at, False
+    def alive(self, connection: LinkConnection, report: bool, fresh: bool) -> None:
+        self.alive_at, self.failed = connection.alive_at, False
         if fresh:
             self.owner.link_up(self)
         if report:
-            for other in self.lanes:
-                if other is not lane:
+            for other in self.connections:
+                if other is not connection:
                     other.misses()
 
-    def lost(self, lane: Lane, why: str) -> None:
-        lane.out = 0
-        tries = [one for one in self.tries.values() if one.lane is lane]
-        lost = [(tag, one.data) for tag, one in self.unconfirmed.items() if one.lane is lane]
+    def lost(self, connection: LinkConnection, why: str) -> None:
+        connection.out = 0
+        tries = [one for one in self.tries.values() if one.connection is connection]
+        lost = [(tag, one.data) for tag, one in self.unconfirmed.items() if one.connection is connection]
         for tag, _ in lost:
             del self.unconfirmed[tag]
         self.owner.link_lost(self, tries, lost, why)
 
     def set_up(self, one: Try, tag: str, data: bytes) -> None:
         """On the connection with the fewest out, of those the one that spoke last; else it waits."""
-        lanes = [lane for lane in self.lanes if lane.up]
+        connections = [connection for connection in self.connections if connection.up]
         self.tries[tag] = one
-        if not lanes:
+        if not connections:
             self.waiting[tag] = data
             return
-        one.lane = min(lanes, key=lambda lane: (lane.out, -lane.alive_at))
-        one.lane.out += 1
-        one.lane.write(data)
+        one.connection = min(connections, key=lambda connection: (connection.out, -connection.alive_at))
+        one.connection.out += 1
+        one.connection.write(data)
 
     def over(self, one: Try, tag: str, data: bytes) -> None:
         """A set-up is out no more; `data`, where there is any, tells the exchange on the same connection."""
@@ -248,21 +248,21 @@
             return
         del self.tries[tag]
         self.waiting.pop(tag, None)
-        if one.lane is not None:
-            one.lane.out = max(0, one.lane.out - 1)
-            one.lane.write(data)
+        if one.connection is not None:
+            one.connection.out = max(0, one.connection.out - 1)
+            one.connection.write(data)
 
     def release(self, tag: str, data: bytes) -> bool:
         """The release of a call that stands, on the connection that spoke last; False where there is none.
 
         A connection that is cut off takes bytes for a while that nobody reads, so the release is kept until
         the exchange has heard it, and handed back when the connection is lost before."""
-        lanes = [lane for lane in self.lanes if lane.up]
-        if not lanes:
+        connections = [connection for connection in self.connections if connection.up]
+        if not connections:
             return False
-        lane = max(lanes, key=lambda one: one.alive_at)
-        lane.write(data)
-        self.unconfirmed[tag] = Unconfirmed(lane, data, self.kernel.now())
+        connection = max(connections, key=lambda one: one.alive_at)
+        connection.write(data)
+        self.unconfirmed[tag] = Unconfirmed(connection, data, self.kernel.now())
         return True
 
     def forget_unconfirmed(self, now: int) -> None:
@@ -272,8 +272,8 @@
 
     def close(self) -> None:
         self.closing = True
-        for lane in self.lanes:
-            if lane.stream is not None:
-                lane.stream.close()
-                lane.stream = None
-            lane.task.cancel()
+        for connection in self.connections:
+            if connection.stream is not None:
+                connection.stream.close()
+                connection.stream = None
+            connection.task.cancel()
--- a/peattrestle/platform/callers.py
+++ b/peattrestle/platform/request.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Asked:
+class SetUpRequest:
     """A set-up as a caller has sent it; `patience` in nanoseconds; `at`: where it stands already."""
 
     tag: str
@@ -49,7 +49,7 @@
     return value
 
 
-def read_set_up(message: sip.Message, bearer_types: frozenset[str]) -> Asked:
+def read_set_up(message: sip.Message, bearer_types: frozenset[str]) -> SetUpRequest:
     """Raises BadSetUp."""
     fields = message.fields
     tag = message.call_id
@@ -78,7 +78,7 @@
         raise BadSetUp("the description is not UTF-8") from None
     if not description:
         raise BadSetUp("no description")
-    return Asked(
+    return SetUpRequest(
         tag,
         bearer_type,
         uri[1],
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -847,7 +847,7 @@
     exchange.listener.close()  # it takes no more connections, and goes on with those it has
     next(one for one in exchange.streams if one is not exchange.where[TAG]).abort()
     town.pass_time(1000)
-    assert [lane.up for lane in link.lanes].count(True) == 1 and caller.released() == []
+    assert [connection.up for connection in link.connections].count(True) == 1 and caller.released() == []
     exchange.say(exchange.where[TAG], verb="FINISH", tag=TAG, rc=16)
     town.pass_time(50)
     assert caller.released() == ["Q.850;cause=16"]
--- a/tests/platform/test_faults_of_the_program.py
+++ b/tests/platform/test_faults_of_the_program.py
@@ -6,7 +6,7 @@
 
 from peattrestle.feed.state import Change
 from peattrestle.platform.agent import Agent
-from peattrestle.platform.link import Lane, Link
+from peattrestle.platform.link import Link, LinkConnection
 from tests.platform.test_agent import DRAINS, Town, invite
 
 OTHER = "00000000000000d2"
@@ -39,15 +39,15 @@
     exchange = town.exchanges[1]
     heard = Agent.link_heard
 
-    def raises_for_one(self: Agent, link: Link, lane: Lane, line: object) -> None:
+    def raises_for_one(self: Agent, link: Link, connection: LinkConnection, line: object) -> None:
         if getattr(line, "tag", "") == OTHER:
             raise TypeError("one fault")
-        heard(self, link, lane, line)  # type: ignore[arg-type]
+        heard(self, link, connection, line)  # type: ignore[arg-type]
 
     monkeypatch.setattr(Agent, "link_heard", raises_for_one)
     caller = town.caller(invite(OTHER))
     town.pass_time(1000)
     assert len(caller.statuses()) == 1 and caller.statuses() != [200]
-    assert sum(lane.up for lane in town.agent.links["s1"].lanes) == 2
+    assert sum(connection.up for connection in town.agent.links["s1"].connections) == 2
     assert len(exchange.streams) == 3 and len(town.kernel.crashes) == 1
     assert town.caller(invite()).statuses() == [200]
--- a/tests/platform/test_releases.py
+++ b/tests/platform/test_releases.py
@@ -12,14 +12,14 @@
     exchange = town.exchanges[1]
     caller = town.caller(invite())
     (link,) = [link for name, link in town.agent.links.items() if name == "s1"]
-    lane = max((one for one in link.lanes if one.up), key=lambda one: one.alive_at)
-    assert lane.stream is not None
-    write, lane.stream.write = lane.stream.write, lambda data: None  # type: ignore[method-assign]
+    connection = max((one for one in link.connections if one.up), key=lambda one: one.alive_at)
+    assert connection.stream is not None
+    write, connection.stream.write = connection.stream.write, lambda data: None  # type: ignore[method-assign]
     caller.says(request("BYE"))
     town.pass_time(50)
     assert "FINISH" not in exchange.verbs()
-    lane.stream.write = write  # type: ignore[method-assign]
-    lane.stream.abort()
+    connection.stream.write = write  # type: ignore[method-assign]
+    connection.stream.abort()
     town.pass_time(400)
     assert exchange.verbs().count("FINISH") == 1
 
