Trials: late and closed connections to exchanges, a slow feed

Change: three in ten connections of some exchanges come up late, connections are closed as well as reset, the feed may be slow.

--- a/peattrestle/trials/draw.py
+++ b/peattrestle/trials/draw.py
@@ -25,6 +25,7 @@
 CROWD_AT_ONCE = 25
 SILENT_CROWD = 150
 
+OUTAGES = (FeedState.DOWN, FeedState.SILENT, FeedState.REFUSING, FeedState.SLOW)
 SPOILT = (Manner.SPOIL, Manner.STOP_SHORT, Manner.TWICE, Manner.STRAY_FIRST, Manner.SLOW_WRITER)
 BROKEN = (Manner.NEVER, Manner.RESET, Manner.CLOSE, Manner.FULL, Manner.ERROR)
 
@@ -87,6 +88,7 @@
         most = round(deadline * self.chance.choice((0.1, 0.3, 0.6)))
         exchange.delay = (min(2 * MS, most), most)
         drawn = self.chance.sample(SPOILT, 2) + self.chance.sample(BROKEN, 2)
+        exchange.late_connections = self.chance.choice((0.0, 0.3))
         share = self.chance.choice((0.0, 0.01, 0.05))
         exchange.manners = dict.fromkeys(drawn, share)
 
@@ -164,7 +166,7 @@
     world = trial.world
     if world.feed.state is not FeedState.UP:
         return
-    world.fail_feed(trial.chance.choice((FeedState.DOWN, FeedState.SILENT, FeedState.REFUSING)))
+    world.fail_feed(trial.chance.choice(OUTAGES))
     yield from trial.wait(300, 4_000)
     before = trial.chance.random() < 0.5
     if before:
@@ -211,7 +213,7 @@
     """Connections to exchanges and from callers are reset under what is open on them."""
     for _ in range(trial.chance.randint(2, 12)):
         if trial.chance.random() < 0.6:
-            trial.exchange().reset_one()
+            trial.exchange().end_one(by_reset=trial.chance.random() < 0.5)
         else:
             trial.chance.choice(trial.world.callers).reset_one()
         yield from trial.wait(10, 400)
--- a/peattrestle/trials/exchange.py
+++ b/peattrestle/trials/exchange.py
@@ -48,6 +48,7 @@
         self.chance, self.holding = chance, holding
         self.manners: dict[Manner, float] = {}
         self.delay = (2 * MS, 60 * MS)
+        self.late_connections = 0.0  # share of connections that come up late
         self.silent = False
         self.alive = True
         self.streams: dict[Stream, int] = {}  # and the agent that made it
@@ -94,6 +95,8 @@
         stream.close()
 
     def report(self, stream: Stream) -> Coroutine[None]:
+        if self.chance.random() < self.late_connections:
+            yield from self.kernel.sleep(self.chance.randint(50, 1_000) * MS)
         while True:
             if not self.silent:
                 free = CIRCUITS - len(self.standing)
@@ -226,7 +229,11 @@
             attempt.cut_at = self.kernel.now()
         self.standing.clear()
 
-    def reset_one(self) -> None:
-        """One connection is reset under whatever is open on it."""
+    def end_one(self, by_reset: bool) -> None:
+        """One connection is reset or closed under whatever is open on it."""
         if self.streams:
-            self.chance.choice(list(self.streams)).abort()
+            stream = self.chance.choice(list(self.streams))
+            if by_reset:
+                stream.abort()
+            else:
+                stream.close()
--- a/peattrestle/trials/feed.py
+++ b/peattrestle/trials/feed.py
@@ -22,6 +22,7 @@
     DOWN = "down"
     SILENT = "silent"
     REFUSING = "refusing"
+    SLOW = "slow"
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,6 +53,7 @@
     def __init__(self, kernel: Kernel, deployment: Deployment, places: int) -> None:
         self.kernel, self.deployment, self.places = kernel, deployment, places
         self.events: list[Event] = []
+        self.chance = kernel.chance("feed")
         self.state = FeedState.UP
         self.place = 0
         self.outage_began = 0
@@ -104,6 +106,8 @@
         if self.state is FeedState.SILENT:
             yield from self.kernel.sleep(HANG)
             return
+        if self.state is FeedState.SLOW:
+            yield from self.kernel.sleep(self.chance.randint(300, 3_500) * MS)
         rows = head.decode().lower().split("\r\n")
         asked = next((row for row in rows if row.startswith("last-event-id:")), "last-event-id: 0")
         self.watchers[stream] = int(asked.partition(":")[2])
@@ -132,7 +136,7 @@
         """The feed has one more event from now on; returns the time."""
         now = self.kernel.now()
         self.events.append(Event(len(self.events) + 1, hosts, whole))
-        if self.state is FeedState.UP:
+        if self.state in (FeedState.UP, FeedState.SLOW):
             for stream in list(self.watchers):
                 self.send(stream)
         return now
@@ -146,6 +150,7 @@
         self.state, self.outage_began = state, self.kernel.now()
         if state is FeedState.DOWN:
             self.close_listeners()
+        if state in (FeedState.DOWN, FeedState.SLOW):
             for stream in list(self.watchers):
                 stream.abort()
 
