A fault of the program costs one message, and never a shutdown's end

What callers saw: nothing yet. A message whose handling raised would have ended its connection with the calls open on it; a fault in the shutdown would have left the process to be killed with all of them. Cause: serve() in platform/connections.py and carry_out() had nobody to catch it; found by reading the change once more. Change: such a message gets 500 and a log line; the shutdown is supervised like the feed.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -139,7 +139,8 @@
         self.shutdown = ShutdownPlan.begin(self.kernel.now(), self.longest_deadline)
         length = (self.shutdown.close_at - self.shutdown.began_at) // MS
         self.log("info", "stopping", calls=len(self.calls), ends_within_ms=length)
-        self.kernel.spawn(carry_out(self, self.shutdown), "shutdown")
+        plan = self.shutdown
+        self.kernel.spawn(supervised(self.kernel, lambda: carry_out(self, plan), "shutdown"), "shutdown")
 
     def answer_all_open(self, why: str) -> None:
         """Gives up on every call that still awaits its answer; its caller is told so."""
--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
@@ -153,7 +154,7 @@
         try:
             while not caller.ending and (message := reader.next()) is not None:
                 caller.spoken, caller.unfinished_at = True, 0
-                self.owner.heard(caller, message)
+                self.hear(caller, message)
         except sip.BadMessage as fault:
             self.counts.add("bad_messages")
             caller.stream.write(sip.answer(fault.status, {}))
@@ -166,6 +167,18 @@
         if caller in self.held:
             self.held.move_to_end(caller)
 
+    def hear(self, caller: Caller, message: sip.Message) -> None:
+        """A fault of the program costs one message, not the calls that are open on its connection."""
+        try:
+            self.owner.heard(caller, message)
+        except Exception as fault:
+            self.counts.add("message_faults")
+            where = "".join(traceback.format_tb(fault.__traceback__)[-2:])
+            fields = {"reference": message.call_id[:40], "error": repr(fault), "where": where}
+            self.log("error", "a message raised", method=message.method, **fields)
+            if message.method == "INVITE" and message.call_id not in caller.open:
+                caller.stream.write(sip.answer(500, message.fields))
+
     def discard(self, caller: Caller, data: bytes) -> None:
         caller.discarded += len(data)
         if caller.discarded > MOST_DISCARDED and not caller.open:
