A connection that is being ended is read slowly

What callers would see: a busy agent while a bad caller goes on sending on a connection whose open call keeps it. Cause: what is thrown away was read as fast as it came. Change: 10 ms after each full read, 1.6 MB a second at most.

--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -26,6 +26,7 @@
 LATER_MESSAGE_WITHIN = 4_000 * MS
 MOST_UNSENT = 131_072
 MOST_DISCARDED = 65_536
+DISCARD_PAUSE = 10 * MS
 READ_SIZE = 16_384
 JUST_COME = 250 * MS
 LINGER = 50 * MS  # as long as a set-up may cross a close
@@ -138,8 +139,8 @@
                     caller.was_reset = True
                     stream.abort()
                     break
-                if len(data) == READ_SIZE:
-                    yield from self.kernel.sleep(0)  # one that sends without end leaves others their turn
+                if len(data) == READ_SIZE:  # one that sends without end leaves others their turn
+                    yield from self.kernel.sleep(DISCARD_PAUSE if caller.ending else 0)
         except Lost as fault:
             why = str(fault)
             caller.was_reset = True
