--- a/review/standins/exchange.py
+++ b/review/standins/exchange.py
@@ -57,6 +57,7 @@
         self.connections: list[Connection] = []
         self.calls: dict[str, StandingCall] = {}
         self.repeated: list[bytes] = []  # releases that go out again on the next connection
+        self.set_ups: list[float] = []  # when each came, in seconds of the record
         self.silent = False
         self.vanished = False
         self.born_ms = 0
@@ -156,6 +157,7 @@
     def _handle(self, connection: Connection, line: dict[str, Any]) -> None:
         verb, tag = line["verb"], line.get("tag", "")
         if verb == "START":
+            self.set_ups.append(self.record.now())
             self.record.line(self.name, f"set-up {tag} on connection {connection.number}")
             connection.open_set_ups.add(tag)
             destination = self.network.get(int(line["opts"]["key"][:2], 16), self)
