platform: calls are bounded by the memory limit, and named ones keep no description

Cause: a named call kept its whole set-up until its release, and calls were bounded by number alone.

Change: memory.py divides what limits.memory_mb leaves beside the program. Calls count their bytes; description and header fields go with the answer; named calls keep neither, and give way by connection at half of the room.

--- a/peattrestle/platform/__main__.py
+++ b/peattrestle/platform/__main__.py
@@ -18,6 +18,7 @@
 from peattrestle.platform.agent import Agent
 from peattrestle.platform.config import BadConfig
 from peattrestle.platform.log import MAX_DEBUG_LINES, Logger
+from peattrestle.platform.memory import resident_bytes
 from peattrestle.runtime.epoll import EpollKernel
 
 
@@ -39,7 +40,7 @@
         return 2
     kernel = EpollKernel(config.seed)
     log = Logger(kernel, debug_lines=debug_lines())
-    agent = Agent(kernel, config, log, kernel.stop)
+    agent = Agent(kernel, config, log, kernel.stop, resident_bytes())
 
     def log_crash(name: str, error: BaseException) -> None:
         where = "".join(traceback.format_tb(error.__traceback__)[-3:])
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -2,8 +2,8 @@
 
 `Agent` is the front end of `peattrestle.calls.core` for these protocols. It decides
 
-- whether a new set-up is accepted: up to `MAX_CALLS` calls, and during a shutdown only those that can still
-  be answered in time;
+- whether a new set-up is accepted: up to `MAX_CALLS` calls and within the memory limit, and during a shutdown
+  only those that can still be answered in time;
 - when a call is over although nobody released it: its exchange restarted, left its address, refuses
   connections, or gave no sign of life for `UNREACHABLE_TIMEOUT`;
 - where a release is sent, and how long it is kept while there is no connection to send it on.
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -35,7 +36,8 @@
 from peattrestle.control import Controller
 from peattrestle.exchangeline import lines
 from peattrestle.feed.state import GONE, READY, Change, FeedState, Member
-from peattrestle.platform import mapping
+from peattrestle.platform import mapping, memory
+from peattrestle.platform.adopted import AdoptedCalls
 from peattrestle.platform.config import Config
 from peattrestle.platform.connections import Caller, CallerConnections, CallerEvidence
 from peattrestle.platform.follow import Follower
@@ -54,7 +56,7 @@
 SWEEP_INTERVAL = 100 * MS
 UNREACHABLE_TIMEOUT = 6000 * MS  # without a sign of life from an exchange, its calls are over
 RESERVED_SOCKETS = 16  # listener, feed, signals, connections being opened or closed, standard streams
-MAX_CALLS = 8_000
+MAX_CALLS = 8_000  # within the memory limit, see `peattrestle.platform.memory`
 MAX_STORED_RELEASES = 8_000  # per exchange to send, and in total received early; as many as calls are held
 EARLY_RELEASE_RETENTION = 60_000 * MS  # for releases that precede the request to adopt their call
 
@@ -73,7 +75,7 @@
 
     `caller` is the connection of its set-up, possibly closed, and None once the call is over. `fields` are
     the header fields of the set-up and `description` the exchange's body, both for the answer. `answered`:
-    the final answer was sent.
+    the final answer was sent. `held_bytes` is the memory that the call counts for.
     """
 
     request: SetUpRequest
@@ -82,6 +84,7 @@
     description: str = ""
     release_cause: int = lines.NORMAL  # Q.850 cause given by the caller
     answered: bool = False
+    held_bytes: int = 0
 
 
 class Agent(Core[SipCall, LinkTry]):
@@ -90,10 +93,16 @@
     `established_calls` are by exchange and Call-ID, `calls_by_tag` by Call-ID. `group_sizes` are the trunk
     group sizes that the exchanges report. `undelivered_releases` wait, by exchange, for a connection;
     `early_releases` are the times of releases received for calls that are not known here (yet).
+    `resident` is the memory that the process uses before it serves anyone, `held_bytes` what all calls hold.
     """
 
     def __init__(
-        self, kernel: Kernel, config: Config, log: Callable[..., None], on_stopped: Callable[[], None]
+        self,
+        kernel: Kernel,
+        config: Config,
+        log: Callable[..., None],
+        on_stopped: Callable[[], None],
+        resident: int = memory.DEFAULT_RESIDENT,
     ) -> None:
         settings = dict(config.settings)
         settings["step"] = max(settings.get("step", 0), ANSWER_MARGIN)
@@ -106,7 +115,9 @@
             get("cold_time", 0),
         )
         super().__init__(kernel, Controller(config.seed, settings), guard, log, ANSWER_MARGIN)
-        self.config, self.on_stopped = config, on_stopped
+        self.config, self.on_stopped, self.resident = config, on_stopped, resident
+        self.held_bytes = 0
+        self.adopted_calls = AdoptedCalls()
         self.tracing = True
         self.own_number: int = settings["own_number"]
         self.max_retry_after: int = get("come_back_limit", 0)
@@ -121,6 +132,7 @@
         self.members: dict[str, Member] = {}
         self.links: dict[str, Link] = {}
         self.group_sizes: dict[str, float] = {}
+        self.memory_plan = self.plan_memory()
         self.connections = CallerConnections(kernel, self, self.counts, log, self.max_caller_connections)
         self.releases = CallerReleases(kernel, self.connections.active, self.counts, log)
         self.undelivered_releases: dict[str, deque[tuple[str, bytes]]] = {}
@@ -153,13 +165,16 @@
         self.log("info", "ready", listen=self.config.listen, exchanges=len(self.links), up=up)
 
     def reload(self, config: Config) -> None:
-        """Applies a new configuration: its known events, the feed's address and the socket limit.
+        """Applies a new configuration: known events, the feed's address, and the socket and memory limits.
 
         Calls and event numbers continue; other settings keep their values.
         """
         for change in self.feed_state.apply_known(config.known):
             self.apply_change(change)
-        self.config = replace(self.config, feed=config.feed, sockets=config.sockets)
+        self.config = replace(
+            self.config, feed=config.feed, sockets=config.sockets, memory_mb=config.memory_mb
+        )
+        self.memory_plan = self.plan_memory()
         if self.follower is not None:
             self.follower.set_address(config.feed)
         self.log("info", "configuration reloaded", feed=config.feed)
@@ -184,9 +199,18 @@
             self.log("info", "call given up", reference=call.request.tag, why=why)
             self.fail_call(call)
 
-    def refusal_reason(self, request: SetUpRequest, now: int) -> str:
-        """Returns why a new set-up is refused without routing it, '' if it is accepted."""
-        if len(self.calls) >= MAX_CALLS:
+    def plan_memory(self) -> memory.MemoryPlan:
+        """Returns the bounds that follow from the configured limits."""
+        limit = self.config.memory_mb * memory.MIB
+        return memory.plan_memory(limit, self.resident, self.max_caller_connections())
+
+    def fits(self, size: int) -> bool:
+        """Whether another call of `size` bytes can be held."""
+        return len(self.calls) < MAX_CALLS and self.held_bytes + size <= self.memory_plan.calls
+
+    def refusal_reason(self, request: SetUpRequest, now: int, size: int) -> str:
+        """Returns why a new set-up of `size` bytes is refused without routing it, '' if it is accepted."""
+        if not self.fits(size):
             return "call limit reached"
         plan = self.shutdown
         target = self.config.settings[f"gos_target:{request.bearer_type}"]
@@ -379,9 +403,11 @@
             self.log("debug", "bad set-up", reference=request.tag, why="its Call-ID is in use")
             caller.stream.write(sip.answer(482, message.fields))
             return
-        why = self.refusal_reason(request, now)
+        fields = sip.response_fields(message.fields)
+        size = memory.OPEN_CALL_SIZE + len(request.description) + sum(map(sys.getsizeof, fields.values()))
+        why = self.refusal_reason(request, now, size)
         if why:
-            self.refuse(caller, request, message.fields, why)
+            self.refuse(caller, request, fields, why)
             return
         abandon_at = now + request.patience
         if self.shutdown is not None:
@@ -393,8 +419,10 @@
             abandon_at,
             request=request,
             caller=caller,
-            fields=message.fields,
+            fields=fields,
+            held_bytes=size,
         )
+        self.held_bytes += size
         self.calls_by_tag[request.tag] = caller.open_calls[request.tag] = call
         self.accept_call(
             call,
@@ -424,13 +452,14 @@
             if known_call.state == ESTABLISHED and known_call.caller not in self.connections.active:
                 known_call.caller = caller  # replaces its closed connection
             return
-        if len(self.calls) >= MAX_CALLS:
+        if not self.make_room_for_adoption(caller):
             self.counts.add("refused_at_bound")
             self.log(
                 "warning", "announced call not taken over", reference=request.tag, why="call limit reached"
             )
             return
         self.counts.add("taken_over")
+        request = replace(request, description=b"")  # only the release of this call is passed on
         call = SipCall(self.next_id(), now, now, state=ESTABLISHED, request=request, caller=caller, fields={})
         link = self.links.get(request.established_exchange)
         if link is None or self.early_releases.pop((request.established_exchange, request.tag), 0):
@@ -439,6 +468,25 @@
         call.answered_try = LinkTry(call, 0, request.established_exchange, now, "stands", link=link)
         self.calls[call.id] = self.calls_by_tag[request.tag] = call
         self.established_calls.setdefault(request.established_exchange, {})[request.tag] = call
+        call.held_bytes = memory.ESTABLISHED_CALL_SIZE
+        self.held_bytes += call.held_bytes
+        self.adopted_calls.add(call, caller)
+
+    def make_room_for_adoption(self, caller: Caller) -> bool:
+        """Returns whether a call named on this connection can be adopted; another one may give way."""
+        size = memory.ESTABLISHED_CALL_SIZE
+        limit = min(self.memory_plan.adopted_calls, MAX_CALLS // 2 * size)
+        if self.adopted_calls.held_bytes + size <= limit and self.fits(size):
+            return True
+        displaced = self.adopted_calls.call_to_displace(caller)
+        if displaced is None:
+            return False
+        self.counts.add("adopted_calls_displaced")
+        self.log("debug", "announced call displaced", reference=displaced.request.tag)
+        if displaced.answered_try is not None:
+            self.end_try(displaced.answered_try, send_release=False)
+        self.forget(displaced)
+        return True
 
     def end_established_call(self, call: SipCall, cause: int) -> None:
         """Ends an established call that is over at its exchange, and sends its caller a release."""
@@ -463,9 +511,8 @@
         request = call.request
         route_try = LinkTry(call, number, action.exchange, self.kernel.now(), link=link)
         timeout_ms = max(1, action.patience // MS)
-        data = lines.encode_set_up(
-            request.tag, request.bearer_type, request.number, timeout_ms, request.description
-        )
+        description = request.description.decode()
+        data = lines.encode_set_up(request.tag, request.bearer_type, request.number, timeout_ms, description)
         link.send_set_up(route_try, request.tag, data)
         return route_try
 
@@ -514,7 +561,14 @@
         if final.kind == ANSWERED:
             self.releases.on_caller_seen(caller, CallerEvidence.PROVEN)
         self.connections.close_if_done(caller)
+        self.keep_only_release(call)
+
+    def keep_only_release(self, call: SipCall) -> None:
+        """Drops what an answered call needed for its set-up and its answer."""
         call.fields, call.description = {}, ""
+        call.request = replace(call.request, description=b"")
+        self.held_bytes += memory.ESTABLISHED_CALL_SIZE - call.held_bytes
+        call.held_bytes = memory.ESTABLISHED_CALL_SIZE
 
     def on_answer_refused(self, call: SipCall) -> bool:
         """Answers a call as failed after its abandon time, since a call without any answer would be lost."""
@@ -525,6 +579,9 @@
 
     def on_call_removed(self, call: SipCall) -> None:
         tag = call.request.tag
+        self.adopted_calls.discard(call)
+        self.held_bytes -= call.held_bytes
+        call.held_bytes = 0
         if self.calls_by_tag.get(tag) is call:
             del self.calls_by_tag[tag]
         if call.caller is not None:
--- a/peattrestle/platform/config.py
+++ b/peattrestle/platform/config.py
@@ -14,6 +14,10 @@
 
 MS = 1_000_000  # nanoseconds
 MAX_FILE_BYTES = 8_388_608
+DEFAULT_SOCKETS = 1_024
+MIN_SOCKETS = 32
+DEFAULT_MEMORY_MB = 192  # MiB
+MIN_MEMORY_MB = 1
 
 
 class BadConfig(Exception):
@@ -24,8 +28,9 @@
 class Config:
     """A validated configuration.
 
-    `listen` and `feed` are addresses, `sockets` is the limit of open descriptors, `settings` the controller's
-    flat settings, and `known` the control feed's events up to the start, as given.
+    `listen` and `feed` are addresses, `sockets` is the limit of open descriptors, `memory_mb` of memory in
+    MiB, `settings` are the controller's flat settings, and `known` the control feed's events up to the
+    start, as given.
     """
 
     name: str
@@ -33,6 +38,7 @@
     feed: str
     seed: int
     sockets: int
+    memory_mb: int
     known: Any
     settings: dict[str, Any]
     bearer_types: frozenset[str]
@@ -55,6 +61,13 @@
         raise BadConfig(f"settings: {name} is missing or not an integer from {minimum} up")
 
 
+def _limit(limits: Any, name: str, default: int, minimum: int) -> int:
+    value = limits.get(name, default) if isinstance(limits, dict) else default
+    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
+        raise BadConfig(f"limits.{name}: {value!r:.40} is not an integer from {minimum} up")
+    return value
+
+
 def read(text: str) -> Config:
     """Returns the configuration in a JSON text. Raises BadConfig if it is invalid."""
     try:
@@ -72,9 +85,8 @@
         seed_number = -1
     if seed_number < 0:
         raise BadConfig(f"seed: {seed!r:.40} is not a hexadecimal number")
-    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
-    if not isinstance(sockets, int) or sockets < 32:
-        raise BadConfig(f"limits.sockets: {sockets!r:.40} is not an integer from 32 up")
+    sockets = _limit(limits, "sockets", DEFAULT_SOCKETS, MIN_SOCKETS)
+    memory_mb = _limit(limits, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB)
     raw_settings = tree.get("settings")
     if not isinstance(raw_settings, dict):
         raise BadConfig("settings: missing or not an object")
@@ -99,6 +111,7 @@
         _address(tree, "feed"),
         seed_number,
         sockets,
+        memory_mb,
         tree.get("known", {"n": 0, "events": []}),
         settings,
         frozenset(settings["bearer_types"]),
--- /dev/null
+++ b/peattrestle/platform/memory.py
@@ -0,0 +1,52 @@
+"""Divides the memory limit of the process among what peers can make the agent hold.
+
+The platform kills a process that exceeds `limits.memory_mb`. What the program needs by itself is known at its
+start; fixed shares of the rest bound what peers add. A count alone would not bound memory, since a message
+has up to 16 KiB. Sizes are bytes.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+MIB = 1_048_576
+DEFAULT_RESIDENT = 20 * MIB  # where the system does not tell
+MIN_DIVISIBLE = 2 * MIB  # with a limit that the program itself nearly reaches
+CONNECTION_SIZE = 4_096  # objects of one connection, without buffers
+OPEN_CALL_SIZE = 2_560  # objects of one call, with the controller's, the guard's and the kernel's
+ESTABLISHED_CALL_SIZE = 1_280
+USABLE_SHARE = 0.6  # the rest is for fragmentation and for what lives only within one turn
+
+
+def resident_bytes() -> int:
+    """Returns the resident memory of this process, or `DEFAULT_RESIDENT` if it cannot be read."""
+    try:
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return DEFAULT_RESIDENT
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclass(slots=True, frozen=True)
+class MemoryPlan:
+    """The bounds that follow from a memory limit, in bytes.
+
+    `calls` is for all calls; `adopted_calls` is the part of it for those that callers only named as
+    established, so that they leave room for new calls.
+    """
+
+    calls: int
+    adopted_calls: int
+
+
+def plan_memory(limit: int, resident: int, connections: int) -> MemoryPlan:
+    """Returns the bounds for a process that has `resident` bytes in use before it serves anyone.
+
+    `connections` is the limit of callers' connections.
+    """
+    usable = limit - resident - connections * CONNECTION_SIZE
+    divisible = round(max(usable, MIN_DIVISIBLE) * USABLE_SHARE)
+    calls = divisible // 2
+    return MemoryPlan(calls=calls, adopted_calls=calls // 2)
--- a/peattrestle/platform/request.py
+++ b/peattrestle/platform/request.py
@@ -30,7 +30,8 @@
 
     `tag` is its Call-ID and `patience` the time in nanoseconds that the caller waits for the final answer.
     `established_exchange` is the exchange where the call is established already, '' for a new call.
-    `description` is the body. The other fields have the same meaning as in `interface.CallArrived`.
+    `description` is the body in UTF-8, b"" once it is no longer needed. The other fields have the same
+    meaning as in `interface.CallArrived`.
     """
 
     tag: str
@@ -43,7 +44,7 @@
     transit: bool
     cut_before: bool
     established_exchange: str
-    description: str
+    description: bytes
 
 
 def _parse_integer(text: str, name: str, minimum: int, maximum: int) -> int:
@@ -79,10 +80,10 @@
     if established_exchange and _exchange_pattern.fullmatch(established_exchange) is None:
         raise BadSetUp(f"X-Legs: at: '{established_exchange[:40]}' is not the name of an exchange")
     try:
-        description = message.body.decode()
+        message.body.decode()
     except UnicodeDecodeError:
         raise BadSetUp("body: not UTF-8") from None
-    if not description:
+    if not message.body:
         raise BadSetUp("body: no description")
     return SetUpRequest(
         tag,
@@ -95,5 +96,5 @@
         _parse_integer(legs.get("transit", "0"), "X-Legs: transit", 0, 1) == 1,
         _parse_integer(legs.get("again", "0"), "X-Legs: again", 0, 1) == 1,
         established_exchange,
-        description,
+        message.body,
     )
--- a/peattrestle/sip/text.py
+++ b/peattrestle/sip/text.py
@@ -151,19 +151,22 @@
 }
 
 
+# Header fields that a response takes from its request (RFC 3261, section 8.2.6.2), as they are written.
+RESPONSE_FIELDS = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
+
+
+def response_fields(request_fields: dict[str, str]) -> dict[str, str]:
+    """Returns only those header fields of a request that its response needs."""
+    return {name: request_fields[name] for name in RESPONSE_FIELDS if name in request_fields}
+
+
 def answer(status: int, request_fields: dict[str, str], body: bytes = b"", retry_after_ms: int = 0) -> bytes:
     """Encodes a response to the request with these header fields.
 
     `retry_after_ms` above 0 asks the caller to wait so long before it calls again.
     """
     lines = [f"SIP/2.0 {status} {REASONS[status]}"]
-    for name, header in (
-        ("via", "Via"),
-        ("from", "From"),
-        ("to", "To"),
-        ("call-id", "Call-ID"),
-        ("cseq", "CSeq"),
-    ):
+    for name, header in RESPONSE_FIELDS.items():
         if name in request_fields:
             lines.append(f"{header}: {request_fields[name]}")
     if retry_after_ms > 0:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import select
@@ -11,6 +12,7 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -45,15 +47,28 @@
     return data
 
 
+StartedProcess = tuple[subprocess.Popen[bytes], str, Path, list[socket.socket]]
+
+
 @pytest.fixture
-def started(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[bytes], str, Path, list[socket.socket]]]:
-    """The process, its address, its configuration file, and the sockets of two feeds and an exchange."""
+def started(tmp_path: Path) -> Iterator[StartedProcess]:
+    """A process with the default limits, see `start_process`."""
+    with start_process(tmp_path) as process:
+        yield process
+
+
+@contextlib.contextmanager
+def start_process(tmp_path: Path, **more: Any) -> Iterator[StartedProcess]:
+    """Starts the process; `more` replaces keys of its configuration.
+
+    Yields the process, its address, its configuration file, and the sockets of two feeds and an exchange.
+    """
     sockets = [listening() for _ in range(4)]
     feed, new_feed, exchange, own = sockets
     own[0].close()
     members = event(1, host("s0", 0), host("s1", 1, dial=exchange[1]), whole=True)
     texts = [
-        config_text(listen=own[1], feed=feed_address[1], known={"n": 1, "events": [members]})
+        config_text(listen=own[1], feed=feed_address[1], known={"n": 1, "events": [members]}, **more)
         for feed_address in (feed, new_feed)
     ]
     path = tmp_path / "config.json"
@@ -73,9 +88,7 @@
             sock.close()
 
 
-def test_a_call_through_sighup_and_sigterm(
-    started: tuple[subprocess.Popen[bytes], str, Path, list[socket.socket]],
-) -> None:
+def test_a_call_through_sighup_and_sigterm(started: StartedProcess) -> None:
     process, address, path, (feed, new_feed, exchange) = started
     connections = [exchange.accept()[0] for _ in range(2)]
     for connection in connections:
