platform: a restart is seen though the exchange had left the list before

Cause: born_ms was compared with the entry before, which the removal had taken away; the link was up again with the new process, so nothing else ended the calls. Evidence: the same news with the entry in place releases them.

Change: the start last told is kept with the link, which stays as long as calls do. Calls set up at the new process before the news stand (they were sent after its start).

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -266,10 +266,9 @@
                     before=previous_state,
                 )
             self.members[member.exchange] = member
-            if previous is not None and member.born_ms > previous.born_ms:
-                self.on_exchange_restarted(member.exchange, started_at)
             if member.number != self.own_number and (previous is None or previous.address != member.address):
                 self.update_link(member)
+            self.check_restart(member, started_at)
         self.post(api.ListUpdated("full" if change.is_full else "delta", tuple(entries)))
 
     def update_link(self, member: Member) -> None:
@@ -320,6 +319,17 @@
         if link.exchange not in self.members:
             self.guard.exchanges.pop(link.exchange, None)
 
+    def check_restart(self, member: Member, started_at: int) -> None:
+        """Ends the calls of an exchange if the list tells a later start of it than before.
+
+        The start told before is kept with the link, and so as long as there are calls: the exchange may have
+        left the list in between.
+        """
+        link = self.links.get(member.exchange)
+        if link is not None and member.born_ms > link.born_ms:
+            link.born_ms = member.born_ms
+            self.on_exchange_restarted(member.exchange, started_at)
+
     def on_exchange_restarted(self, exchange: str, started_at: int) -> None:
         """Ends the calls established before the exchange's restart, which has lost them."""
         for call in list(self.established_calls.get(exchange, {}).values()):
--- a/tests/platform/test_replacement.py
+++ b/tests/platform/test_replacement.py
@@ -2,11 +2,64 @@
 
 from __future__ import annotations
 
-from tests.platform.test_agent import Harness, apply_feed_event, host, invite
+import pytest
+
+from tests.platform.test_agent import MS, Harness, apply_feed_event, event, host, invite
 
 OLD_CALL, NEW_CALL = "00000000000000b1", "00000000000000b2"
 
 
+def restart(harness: Harness) -> int:
+    """The first exchange vanishes and a new process of it listens; returns its start in Unix milliseconds."""
+    for stream in list(harness.exchanges[1].streams):
+        stream.abort()
+    harness.exchanges[1].streams.clear()
+    started_ms = int(harness.kernel.wall_time()) // MS
+    harness.advance(300)
+    assert harness.agent.links["s1"].is_up
+    return started_ms
+
+
+def remove_from_list(harness: Harness, is_whole: bool) -> None:
+    """The list loses the first exchange, by an entry or by a full list without it."""
+    if not is_whole:
+        apply_feed_event(harness, 2, host("s1", 1, "DELETED"))
+        return
+    whole = event(2, host("s0", 0), host("s2", 2), whole=True)
+    for change in harness.agent.feed_state.apply_known({"n": 2, "events": [whole]}):
+        harness.agent.apply_change(change)
+
+
+@pytest.mark.parametrize("is_whole", [False, True])
+def test_calls_of_a_vanished_exchange_are_released_though_it_left_the_list_before_it_was_listed_anew(
+    is_whole: bool,
+) -> None:
+    # Guards against a restart that was only seen while the exchange's earlier entry was still in the list.
+    harness = Harness()
+    caller = harness.caller(invite(OLD_CALL))
+    started_ms = restart(harness)
+    remove_from_list(harness, is_whole)
+    harness.advance(1000)
+    assert caller.release_reasons() == []  # nothing shows yet whether the call still stands
+    apply_feed_event(harness, 3, host("s1", 1, born_ms=started_ms))
+    harness.advance(100)
+    assert caller.release_reasons() == ["Q.850;cause=41"]
+    harness.assert_idle()
+
+
+def test_a_call_at_the_new_process_survives_the_news_of_its_start() -> None:
+    # The agent reaches the new process before the list names it.
+    harness = Harness()
+    started_ms = restart(harness)
+    caller = harness.caller(invite(NEW_CALL))
+    assert caller.statuses() == [200]
+    remove_from_list(harness, is_whole=False)
+    for number, state in ((3, "SERVING"), (4, "DRAINING"), (5, "DELETED"), (6, "SERVING")):
+        apply_feed_event(harness, number, host("s1", 1, state, born_ms=started_ms))
+        harness.advance(500)
+    assert caller.release_reasons() == [] and NEW_CALL in harness.agent.calls_by_tag
+
+
 def test_calls_of_a_replaced_exchange_are_released_though_another_listens_at_its_address() -> None:
     harness = Harness()
     exchange = harness.exchanges[1]
