platform: a release reaches its caller among hundreds of strangers within 1 s

Cause: one connection at a time, the last used first, ten at most, where the rule gives 1 s; and one 200 made a stranger a proven caller. Evidence: new tests with 30 and 300 strangers fail unless the caller was used last.

Change: without a connection known to be a caller's, all that sent a valid set-up get the release in rounds of doubling size, 75 ms apart; a stranger's 200 counts only once all have it; peers that read nothing are left out.

--- a/peattrestle/platform/releases.py
+++ b/peattrestle/platform/releases.py
@@ -1,32 +1,36 @@
 """Delivers the releases of established calls to callers (RFC 3261, section 15: a BYE and its 200).
 
 An established call is not bound to a connection. Its release is sent on the connection of its set-up if that
-is still open, else on any other open connection from callers, chosen when the release is sent. Without one it
-waits, and is sent on the next connection that is seen to be from callers.
-
-A release stays owed until a caller confirms it or its retention time has passed. It is sent again on another
-connection when the one it was written to is reset, or is closed while the release may still have been in
-flight. Peers that only send invalid messages are no callers, and a peer that sends valid set-ups may be an
-abusive one that ignores releases. A release written to a connection without further evidence (see
-`CallerEvidence`) is therefore sent again elsewhere until it is confirmed. Times are nanoseconds.
+is still open, else on another one that is known to be a caller's (`CallerEvidence.PROVEN`). It stays owed
+until a caller confirms it or its retention time has passed, and is sent again when the connection it was
+written to is reset, or is closed while the release may still have been in flight.
+
+Without such a connection every connection that has sent a valid set-up is a candidate: it may be a caller's
+whose set-ups are refused, or an abusive peer's that ignores or confirms whatever it gets. Candidates get the
+release in rounds of doubling size, so that all of them have it within a second, and a caller among the first
+costs little. Connections that become candidates later get it as well. Peers that only send invalid messages
+are no callers. Times are nanoseconds.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from peattrestle.calls.core import Counts, Log
-from peattrestle.platform.connections import Caller, CallerEvidence
+from peattrestle.platform.connections import MAX_UNSENT_BYTES, Caller, CallerEvidence
 from peattrestle.runtime import Kernel
 
 MS = 1_000_000  # nanoseconds
 STATUS_OK = 200
 UNDELIVERED_RETENTION = 60_000 * MS  # after the end of a call whose callers have no connection
-UNCONFIRMED_RETENTION = 8_000 * MS  # after it was last sent
+UNCONFIRMED_RETENTION = 8_000 * MS  # after it was sent
 CLOSE_CROSSING_TIME = 250 * MS  # a release written so shortly before an orderly close may not have been read
-CONFIRMATION_TIMEOUT = 500 * MS  # on a connection that may not be a caller's
-MAX_SENDS = 10  # of one release, since callers are not required to confirm it
+OWN_CONNECTION_WAIT = 200 * MS  # for a confirmation on the call's own connection, before others get it
+ROUND_INTERVAL = 75 * MS  # ten rounds reach 1,023 candidates within 0.7 s
+MIN_ROUND_GAP = 35 * MS  # of one release; rounds are common to all releases
+MAX_WRITES_PER_ROUND = 4_000  # of all releases together, since other work waits meanwhile
 MAX_STORED_RELEASES = 8_000  # undelivered and unconfirmed ones together; as many as calls are held
 
 
@@ -34,8 +38,10 @@
 class Release:
     """One BYE.
 
-    `owed_since` is when its call ended. `caller` is the connection it was last written to, at `sent_at`; None
-    while it waits for one. `previous_callers` are the connections to which it was written before.
+    `owed_since` is when its call ended. `caller` is the connection of its call, or one known to be a
+    caller's, that it was last written to; None without one. `sent_at` is when it was last written, 0 if never.
+    Candidates from the number `next_candidate` on have not got it; the next round has `round_size` of them,
+    at `round_at` at the earliest. `confirmed`: a candidate has confirmed it.
     """
 
     call_id: str
@@ -43,172 +49,225 @@
     owed_since: int
     caller: Caller | None = None
     sent_at: int = 0
-    sends: int = 0
-    previous_callers: list[Caller] = field(default_factory=list)
+    next_candidate: int = 0
+    round_size: int = 1
+    round_at: int = 0
+    confirmed: bool = False
 
 
 class CallerReleases:
-    """Sends releases; `active` are the open connections from callers, the longest silent one first.
+    """Sends releases; `active` are the open connections from callers.
 
-    `undelivered` are the releases that wait for a connection, `unconfirmed` those that were sent, by Call-ID
-    and the oldest one first. Every step of a release is counted in `counts`, and logged with the call's id.
+    `undelivered` are the releases that no connection known to be a caller's has got, `unconfirmed` those that
+    were delivered to one, by Call-ID and the oldest one first. Every step of a release is counted in
+    `counts`, and logged with the call's id.
     """
 
     def __init__(self, kernel: Kernel, active: OrderedDict[Caller, None], counts: Counts, log: Log) -> None:
         self.kernel, self.active, self.counts, self.log = kernel, active, counts, log
         self.undelivered: OrderedDict[str, Release] = OrderedDict()
         self.unconfirmed: OrderedDict[str, Release] = OrderedDict()
+        self._candidates: dict[int, Caller] = {}  # by number, in ascending order
+        self._number_of: dict[Caller, int] = {}
+        self._last_number = 0
+        self._proven: OrderedDict[Caller, None] = OrderedDict()  # the last one to show it comes last
+        self._round_is_scheduled = False
 
     def send(self, call_id: str, data: bytes, own_connection: Caller | None) -> None:
         """Sends a BYE. `own_connection`: the connection of the call's set-up, if it may still be open."""
         release = Release(call_id, data, self.kernel.now())
-        caller = own_connection if own_connection in self.active else None
-        if caller is None or caller.close_reason:
+        own = own_connection if own_connection in self.active else None
+        if own is not None and not own.close_reason and own.evidence is not CallerEvidence.PROVEN:
+            self._write(release, own)
+            release.caller, release.round_at = own, self.kernel.now() + OWN_CONNECTION_WAIT
+            self._store(release)
+            return
+        if own is None or own.close_reason:
             # One that is about to be closed is used if there is no other: its caller still reads.
-            caller = self._choose_connection(release) or caller
-        self._write_or_store(release, caller)
+            own = self._proven_connection() or own
+        self._deliver_or_store(release, own)
 
     def send_again_if_owed(self, call_id: str, caller: Caller) -> bool:
         """Sends a release that is still owed on this connection; False if none is owed for the call."""
-        release = self.undelivered.pop(call_id, None) or self.unconfirmed.get(call_id)
+        release = self.undelivered.get(call_id) or self.unconfirmed.get(call_id)
         if release is None:
             return False
         if release.caller is not caller:
-            self.unconfirmed.pop(call_id, None)
-            self._write(release, caller)
+            self._forget(call_id)
+            self._deliver(release, caller)
         return True
 
     def on_caller_seen(self, caller: Caller, evidence: CallerEvidence) -> None:
         """Records what a connection has shown to be, and sends the waiting releases on it."""
         caller.evidence = max(caller.evidence, evidence)
-        if not self.undelivered or caller not in self.active or caller.close_reason:
+        if caller not in self.active or caller.close_reason:
             return
-        releases = list(self.undelivered.values())
-        self.undelivered.clear()
-        for release in releases:
-            self._write(release, caller)
+        if caller not in self._number_of:
+            self._last_number += 1
+            self._number_of[caller] = self._last_number
+            self._candidates[self._last_number] = caller
+            if self.undelivered:
+                self._schedule_round()
+        if caller.evidence is CallerEvidence.PROVEN:
+            self._proven[caller] = None
+            self._proven.move_to_end(caller)
+            for release in list(self.undelivered.values()):
+                self._forget(release.call_id)
+                self._deliver(release, caller)
 
     def on_response(self, call_id: str, status: int, caller: Caller) -> None:
-        """Handles a response to a BYE; an error confirms it only on a connection known to be a caller's."""
-        if status != STATUS_OK and caller.evidence is not CallerEvidence.PROVEN:
+        """Handles a response to a BYE.
+
+        Only a connection known to be a caller's, or the one chosen for this release, confirms it. A candidate
+        may be a peer that confirms what is not its own, so all candidates get the release before that counts.
+        """
+        is_proven = caller.evidence is CallerEvidence.PROVEN
+        if status != STATUS_OK and not is_proven:
+            return
+        release = self.undelivered.get(call_id) or self.unconfirmed.get(call_id)
+        if release is None:
             return
-        if self.unconfirmed.pop(call_id, None) is not None:
+        if is_proven or release.caller is caller:
+            self._forget(call_id)
             self.counts.add("releases_confirmed")
-            self.on_caller_seen(caller, CallerEvidence.PROVEN)
+        elif call_id in self.undelivered:
+            release.confirmed = True
+            self._forget_if_confirmed(release)
 
     def on_connection_ended(self, caller: Caller) -> None:
         """Handles a closed connection: releases that its caller may not have read are sent on another one."""
+        self._proven.pop(caller, None)
+        self._candidates.pop(self._number_of.pop(caller, 0), None)
         read_before = self.kernel.now() - CLOSE_CROSSING_TIME
         written = [release for release in self.unconfirmed.values() if release.caller is caller]
         for release in written:
             was_read = not caller.was_reset and release.sent_at < read_before
             if was_read and caller.evidence is CallerEvidence.PROVEN:
                 continue
-            del self.unconfirmed[release.call_id]
-            self._write_or_store(release, self._choose_connection(release))
+            self._forget(release.call_id)
+            self._deliver_or_store(release, self._proven_connection())
 
     def expire(self, now: int) -> None:
         """Drops releases that have been owed for too long."""
-        while self.undelivered and self._first(self.undelivered).owed_since < now - UNDELIVERED_RETENTION:
-            self._drop(self.undelivered, "no connection to send it on")
-        while self.unconfirmed and self._first(self.unconfirmed).sent_at < now - UNCONFIRMED_RETENTION:
-            release = self._first(self.unconfirmed)
+        while self.undelivered:
+            release = next(iter(self.undelivered.values()))
+            if release.owed_since >= now - UNDELIVERED_RETENTION:
+                break
+            self._drop(release, "no connection known to be a caller's")
+        while self.unconfirmed:
+            release = next(iter(self.unconfirmed.values()))
+            if release.sent_at >= now - UNCONFIRMED_RETENTION:
+                break
             if release.caller is not None and release.caller.evidence is not CallerEvidence.PROVEN:
-                self._drop(self.unconfirmed, "no caller confirmed it")
+                self._drop(release, "no caller confirmed it")
             else:
-                del self.unconfirmed[release.call_id]
+                self._forget(release.call_id)
 
     # Sending.
 
-    def _choose_connection(self, release: Release) -> Caller | None:
-        """Returns the open connection on which a caller most likely reads the release, None without one.
+    def _proven_connection(self) -> Caller | None:
+        """Returns the open connection that was last shown to be a caller's, None without one."""
+        return next((caller for caller in reversed(self._proven) if not caller.close_reason), None)
 
-        Of equal ones it is the one used last. Connections on which the release was sent before are left out.
-        """
-        best, best_evidence = None, CallerEvidence.NONE
-        for caller in reversed(self.active):
-            if caller.close_reason or caller is release.caller or caller in release.previous_callers:
-                continue
-            if caller.evidence > best_evidence:
-                best, best_evidence = caller, caller.evidence
-            if best_evidence is CallerEvidence.PROVEN:
-                break
-        return best
-
-    def _write_or_store(self, release: Release, caller: Caller | None) -> None:
-        """Writes the release, or keeps it until there is a connection."""
+    def _deliver_or_store(self, release: Release, caller: Caller | None) -> None:
+        """Delivers the release to a caller's connection, or keeps it and sends it to the candidates."""
         if caller is not None:
-            self._write(release, caller)
+            self._deliver(release, caller)
             return
-        if release.caller is not None:
-            release.previous_callers.append(release.caller)
-            release.caller = None
+        release.caller = None
         self.counts.add("releases_waiting")
         self.log("debug", "release waiting", reference=release.call_id, open=len(self.active))
+        self._store(release)
+
+    def _store(self, release: Release) -> None:
         self._make_room()
         self.undelivered[release.call_id] = release
-
-    def _write(self, release: Release, caller: Caller) -> None:
-        """Writes the release to the connection, and keeps it until it is confirmed."""
-        if release.sends >= MAX_SENDS:
-            self.counts.add("releases_dropped")
-            self._log_dropped(release, f"not confirmed after {release.sends} times")
+        if release.round_at <= self.kernel.now():
+            self._send_to_candidates(release, list(self._candidates))
+        if not self._has_all(release):
+            self._schedule_round()
+
+    def _deliver(self, release: Release, caller: Caller) -> None:
+        """Writes the release to the connection, unless it was, and keeps it until it is confirmed."""
+        if release.owed_since < self.kernel.now() - UNDELIVERED_RETENTION:
+            self._log_dropped(release, "not confirmed in time")
             return
-        if release.caller is not None:
-            release.previous_callers.append(release.caller)
-        caller.stream.write(release.data)
-        release.caller, release.sent_at = caller, self.kernel.now()
-        release.sends += 1
-        self.counts.add("releases_sent" if release.sends == 1 else "releases_sent_again")
-        self.log("debug", "release sent", reference=release.call_id, times=release.sends)
+        number = self._number_of.get(caller, release.next_candidate)
+        if release.caller is not caller and number >= release.next_candidate:
+            self._write(release, caller)
+        release.caller = caller
         self._make_room()
         self.unconfirmed[release.call_id] = release
-        if caller.evidence is not CallerEvidence.PROVEN:
-            self._check_later(release)
-
-    def _check_later(self, release: Release) -> None:
-        """Sends the release on another connection if it is not confirmed in time on its present one."""
-        sends = release.sends
-        due_at = self.kernel.now() + CONFIRMATION_TIMEOUT
-
-        def check() -> None:
-            if self.unconfirmed.get(release.call_id) is not release or release.sends != sends:
-                return
-            if release.caller is None or release.caller.evidence is CallerEvidence.PROVEN:
-                return
-            caller = self._choose_connection(release)
-            if caller is None:
-                self._check_later(release)
-                return
-            del self.unconfirmed[release.call_id]
-            self._write(release, caller)
 
-        self.kernel.call_at(due_at, check)
+    def _write(self, release: Release, caller: Caller) -> None:
+        caller.stream.write(release.data)
+        self.counts.add("releases_sent_again" if release.sent_at else "releases_sent")
+        release.sent_at = self.kernel.now()
+        self.log("debug", "release sent", reference=release.call_id)
+
+    # Candidates.
+
+    def _schedule_round(self) -> None:
+        if not self._round_is_scheduled:
+            self._round_is_scheduled = True
+            self.kernel.call_at(self.kernel.now() + ROUND_INTERVAL, self._send_round)
+
+    def _send_round(self) -> None:
+        """Sends each undelivered release to the next candidates, if its next round is due."""
+        self._round_is_scheduled = False
+        now, numbers, writes = self.kernel.now(), list(self._candidates), 0
+        for release in list(self.undelivered.values()):
+            if now >= release.round_at and writes < MAX_WRITES_PER_ROUND:
+                writes += self._send_to_candidates(release, numbers)
+        if not all(map(self._has_all, self.undelivered.values())):
+            self._schedule_round()
+
+    def _send_to_candidates(self, release: Release, numbers: list[int]) -> int:
+        """Sends a release to its next candidates among these numbers; returns how many there were."""
+        start = bisect_left(numbers, release.next_candidate)
+        chosen = numbers[start : start + release.round_size]
+        for number in chosen:
+            caller = self._candidates[number]
+            is_read = caller.stream.unsent < MAX_UNSENT_BYTES // 2
+            if is_read and not caller.close_reason and caller is not release.caller:
+                self._write(release, caller)
+        if chosen:
+            release.next_candidate = chosen[-1] + 1
+            release.round_size *= 2
+            release.round_at = self.kernel.now() + MIN_ROUND_GAP
+        self._forget_if_confirmed(release)
+        return len(chosen)
+
+    def _has_all(self, release: Release) -> bool:
+        """Whether all present candidates have got the release."""
+        return not self._candidates or release.next_candidate > next(reversed(self._candidates))
+
+    def _forget_if_confirmed(self, release: Release) -> None:
+        """Ends a release that a candidate has confirmed once all the others have got it too."""
+        if release.confirmed and self._has_all(release):
+            self._forget(release.call_id)
+            self.counts.add("releases_confirmed")
 
     # Dropping.
 
+    def _forget(self, call_id: str) -> None:
+        self.undelivered.pop(call_id, None)
+        self.unconfirmed.pop(call_id, None)
+
     def _make_room(self) -> None:
-        """Drops the oldest release at the limit: one that was sent, else one that waits."""
+        """Drops the oldest release at the limit: one that was delivered, else one that waits."""
         if len(self.undelivered) + len(self.unconfirmed) >= MAX_STORED_RELEASES:
-            self._drop(self.unconfirmed or self.undelivered, "too many releases")
+            oldest = next(iter((self.unconfirmed or self.undelivered).values()))
+            self._drop(oldest, "too many releases")
 
-    def _drop(self, releases: OrderedDict[str, Release], why: str) -> None:
-        """Drops the oldest of these releases."""
-        _, release = releases.popitem(last=False)
-        self.counts.add("releases_dropped")
+    def _drop(self, release: Release, why: str) -> None:
+        self._forget(release.call_id)
         self._log_dropped(release, why)
 
     def _log_dropped(self, release: Release, why: str) -> None:
+        self.counts.add("releases_dropped")
         age_ms = (self.kernel.now() - release.owed_since) // MS
+        was_sent = bool(release.sent_at)
         self.log(
-            "warning",
-            "release dropped",
-            reference=release.call_id,
-            why=why,
-            times_sent=release.sends,
-            age_ms=age_ms,
+            "warning", "release dropped", reference=release.call_id, why=why, sent=was_sent, age_ms=age_ms
         )
-
-    @staticmethod
-    def _first(releases: OrderedDict[str, Release]) -> Release:
-        return next(iter(releases.values()))
--- a/tests/platform/test_releases.py
+++ b/tests/platform/test_releases.py
@@ -172,6 +172,73 @@
     assert not harness.agent.releases.unconfirmed
 
 
+def confirm(peer: Caller, tag: str = TAG) -> None:
+    """The peer confirms a release, whether it got one or not."""
+    peer.send(f"SIP/2.0 200 OK\r\nCall-ID: {tag}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n".encode())
+
+
+@pytest.mark.parametrize("strangers_before", [0, 30, 300])
+@pytest.mark.parametrize("strangers_confirm", [False, True], ids=["ignored", "confirmed"])
+def test_strangers_by_hundreds_keep_a_release_from_its_caller_for_no_longer_than_1_s(
+    strangers_before: int, strangers_confirm: bool
+) -> None:
+    # Guards against releases spent one after the other on peers that only send valid set-ups, and dropped.
+    harness = Harness(limits={"sockets": 1_024, "memory_mb": 64})
+    harness.caller(invite()).stream.close()
+    numbers = iter(range(1_000, 2_000))
+    strangers = [refused_caller(harness, f"{next(numbers):016x}") for _ in range(strangers_before)]
+    caller = refused_caller(harness)
+    strangers += [refused_caller(harness, f"{next(numbers):016x}") for _ in range(300 - strangers_before)]
+    release_at_exchange(harness)
+    for _ in range(100):
+        harness.advance(10)
+        for stranger in strangers if strangers_confirm else ():
+            if stranger.release_reasons():
+                confirm(stranger)
+    assert caller.release_reasons() == ["Q.850;cause=16"]
+    assert all(len(stranger.release_reasons()) <= 1 for stranger in strangers)
+
+
+def test_a_peer_that_confirms_what_is_not_its_own_gets_no_releases_in_a_callers_place() -> None:
+    # Guards against one confirmation taken as proof that a caller is behind the connection.
+    harness = Harness()
+    harness.caller(invite(), invite(OTHER)).stream.close()
+    stranger = refused_caller(harness, THIRD)
+    caller = refused_caller(harness, "00000000000000c4")
+    for tag in (TAG, OTHER):
+        release_at_exchange(harness, tag)
+        harness.advance(20)
+        confirm(stranger, tag)
+        harness.advance(900)
+    assert len(caller.release_reasons()) == 2
+    assert not harness.agent.releases.undelivered
+
+
+def test_a_release_goes_to_no_stranger_while_a_connection_is_known_to_be_a_callers() -> None:
+    harness = Harness()
+    harness.caller(invite()).stream.close()
+    caller = harness.caller(invite(OTHER))
+    strangers = [refused_caller(harness, f"{number:016x}") for number in range(5)]
+    release_at_exchange(harness)
+    harness.advance(10_000)
+    assert caller.release_reasons() == ["Q.850;cause=16"]
+    assert [stranger.release_reasons() for stranger in strangers] == [[]] * 5
+
+
+def test_a_stranger_that_reads_nothing_gets_no_releases_without_end() -> None:
+    # Guards against memory that grows with each release written for a peer that does not read.
+    harness = Harness()
+    harness.kernel.network.window = 4_096
+    harness.caller(*[invite(f"{number:016x}") for number in range(30)]).stream.close()
+    stranger = refused_caller(harness)
+    (connection,) = harness.agent.connections.active
+    connection.stream.unsent = 100_000
+    for number in range(30):
+        release_at_exchange(harness, f"{number:016x}")
+    harness.advance(500)
+    assert stranger.release_reasons() == []
+
+
 def test_a_connection_without_a_valid_message_gets_no_release() -> None:
     harness = Harness()
     harness.caller(invite()).stream.close()
