platform: requests that their caller left unread are not sent on

Operators saw: a client closed its connection with much unread, and its requests were sent on afterwards.

Cause: set-ups were taken from the socket's buffer without asking whether the peer had closed; its end was only seen behind the last byte.

Change: each set-up asks the socket (poll, POLLRDHUP) first; of a caller that has left nothing is set up, and what is open on its connection is cancelled then. Releases and named calls are read to the end: a standing call belongs to no connection.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -355,8 +355,12 @@
         )
 
     def on_connection_ended(self, caller: Caller) -> None:
-        """Cancels the open calls of a closed connection: nobody is left to answer."""
+        """Handles a closed connection."""
         self.releases.on_connection_ended(caller)
+        self.cancel_open_calls(caller)
+
+    def cancel_open_calls(self, caller: Caller) -> None:
+        """Cancels the open calls of a caller that has left: nobody is there to answer."""
         for call in list(caller.open_calls.values()):
             self.counts.add("left")
             self.caller_left(call)
@@ -408,6 +412,11 @@
         if request.established_exchange:
             self.adopt_established_call(caller, request, now)
             return
+        if caller.stream.peer_has_closed():
+            self.counts.add("left_unread")
+            self.log("debug", "its caller has left", reference=request.tag)
+            self.cancel_open_calls(caller)
+            return
         if request.tag in self.calls_by_tag:
             self.counts.add("bad_set_ups")
             self.log("debug", "bad set-up", reference=request.tag, why="its Call-ID is in use")
--- a/peattrestle/platform/releases.py
+++ b/peattrestle/platform/releases.py
@@ -39,7 +39,7 @@
     """One BYE.
 
     `owed_since` is when its call ended. `caller` is the connection of its call, or one known to be a
-    caller's, that it was last written to; None without one. `sent_at` is when it was last written, 0 if never.
+    caller's, that it was last written to; None without one. `sent_at` is when it was last written, 0: never.
     Candidates from the number `next_candidate` on have not got it; the next round has `round_size` of them,
     at `round_at` at the earliest. `confirmed`: a candidate has confirmed it.
     """
--- a/peattrestle/runtime/epoll.py
+++ b/peattrestle/runtime/epoll.py
@@ -27,6 +27,7 @@
 
 READABLE, WRITABLE = select.EPOLLIN | select.EPOLLRDHUP, select.EPOLLOUT
 HUNG_UP = select.EPOLLHUP | select.EPOLLERR
+PEER_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -135,6 +136,13 @@
                     self._reader = None
                     self._update_mask()
 
+    def peer_has_closed(self) -> bool:
+        if self.handle.fd < 0:
+            return True
+        poll = select.poll()
+        poll.register(self.handle.fd, PEER_CLOSED)
+        return bool(poll.poll(0))
+
     def write(self, data: bytes) -> None:
         if self.handle.fd < 0 or self._write_closed or not data:
             return
--- a/peattrestle/runtime/kernel.py
+++ b/peattrestle/runtime/kernel.py
@@ -270,6 +270,10 @@
         """
         raise NotImplementedError
 
+    def peer_has_closed(self) -> bool:
+        """Whether the peer is known to have closed or reset the connection, though bytes may be unread."""
+        raise NotImplementedError
+
     def write(self, data: bytes) -> None:
         """Buffers all bytes; after the connection is lost they are discarded.
 
--- a/peattrestle/runtime/virtual.py
+++ b/peattrestle/runtime/virtual.py
@@ -170,6 +170,9 @@
                 if self._reader is waiter:
                     self._reader = None
 
+    def peer_has_closed(self) -> bool:
+        return self._closed or self._at_end
+
     # Closing.
 
     def _shut(self, reason: str) -> None:
