platform: a Call-ID whose set-up was sent is not set up again

Operators saw: an id ran twice when it came again after its client had left.

Cause: a Call-ID was known only as long as its call. Coming again it was a new call, sent at the moment the first set-up was given up, within the release time, or answered 200 a second time. Both were shown by tests.

Change: ids whose set-up was sent are remembered for 60 s after their call, within the memory limit, and refused with 482 (PROTOCOL.md: every set-up bears a new id). Ids refused before any set-up are free.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -38,6 +38,7 @@
 from peattrestle.feed.state import GONE, READY, Change, FeedState, Member
 from peattrestle.platform import mapping, memory
 from peattrestle.platform.adopted import AdoptedCalls
+from peattrestle.platform.call_ids import RecentCallIds
 from peattrestle.platform.config import Config
 from peattrestle.platform.connections import Caller, CallerConnections, CallerEvidence
 from peattrestle.platform.follow import Follower
@@ -75,7 +76,8 @@
 
     `caller` is the connection of its set-up, possibly closed, and None once the call is over. `fields` are
     the header fields of the set-up and `description` the exchange's body, both for the answer. `answered`:
-    the final answer was sent. `held_bytes` is the memory that the call counts for.
+    the final answer was sent. `was_sent`: an exchange was sent a set-up. `held_bytes` is the memory that the
+    call counts for.
     """
 
     request: SetUpRequest
@@ -84,6 +86,7 @@
     description: str = ""
     release_cause: int = lines.NORMAL  # Q.850 cause given by the caller
     answered: bool = False
+    was_sent: bool = False
     held_bytes: int = 0
 
 
@@ -118,6 +121,7 @@
         self.config, self.on_stopped, self.resident = config, on_stopped, resident
         self.held_bytes = 0
         self.adopted_calls = AdoptedCalls()
+        self.recent_call_ids = RecentCallIds()
         self.tracing = True
         self.own_number: int = settings["own_number"]
         self.max_retry_after: int = get("come_back_limit", 0)
@@ -417,9 +421,9 @@
             self.log("debug", "its caller has left", reference=request.tag)
             self.cancel_open_calls(caller)
             return
-        if request.tag in self.calls_by_tag:
+        if request.tag in self.calls_by_tag or request.tag in self.recent_call_ids:
             self.counts.add("bad_set_ups")
-            self.log("debug", "bad set-up", reference=request.tag, why="its Call-ID is in use")
+            self.log("debug", "bad set-up", reference=request.tag, why="its Call-ID is or was in use")
             caller.stream.write(sip.answer(482, message.fields))
             return
         fields = sip.response_fields(message.fields)
@@ -533,6 +537,7 @@
         description = request.description.decode()
         data = lines.encode_set_up(request.tag, request.bearer_type, request.number, timeout_ms, description)
         link.send_set_up(route_try, request.tag, data)
+        call.was_sent = True
         return route_try
 
     def release_try(self, route_try: LinkTry, send_release: bool) -> None:
@@ -601,6 +606,8 @@
         self.adopted_calls.discard(call)
         self.held_bytes -= call.held_bytes
         call.held_bytes = 0
+        if call.was_sent:
+            self.recent_call_ids.add(tag, self.kernel.now(), self.memory_plan.call_ids)
         if self.calls_by_tag.get(tag) is call:
             del self.calls_by_tag[tag]
         if call.caller is not None:
@@ -731,6 +738,7 @@
                     self.end_calls_at(name)
                 link.expire_unconfirmed(now)
             self.releases.expire(now)
+            self.recent_call_ids.expire(now)
             while (
                 self.early_releases
                 and next(iter(self.early_releases.values())) < now - EARLY_RELEASE_RETENTION
--- a/peattrestle/platform/memory.py
+++ b/peattrestle/platform/memory.py
@@ -17,6 +17,7 @@
 CONNECTION_SIZE = 4_096  # objects of one connection, without buffers
 OPEN_CALL_SIZE = 2_560  # objects of one call, with the controller's, the guard's and the kernel's
 ESTABLISHED_CALL_SIZE = 1_280
+CALL_ID_SIZE = 256  # one remembered Call-ID
 USABLE_SHARE = 0.6  # the rest is for fragmentation and for what lives only within one turn
 
 
@@ -31,14 +32,15 @@
 
 @dataclass(slots=True, frozen=True)
 class MemoryPlan:
-    """The bounds that follow from a memory limit, in bytes.
+    """The bounds that follow from a memory limit.
 
-    `calls` is for all calls; `adopted_calls` is the part of it for those that callers only named as
-    established, so that they leave room for new calls.
+    `calls` are the bytes for all calls; `adopted_calls` is the part of them for those that callers only named
+    as established, so that they leave room for new calls. `call_ids` is the number of Call-IDs remembered.
     """
 
     calls: int
     adopted_calls: int
+    call_ids: int
 
 
 def plan_memory(limit: int, resident: int, connections: int) -> MemoryPlan:
@@ -49,4 +51,8 @@
     usable = limit - resident - connections * CONNECTION_SIZE
     divisible = round(max(usable, MIN_DIVISIBLE) * USABLE_SHARE)
     calls = divisible // 2
-    return MemoryPlan(calls=calls, adopted_calls=calls // 2)
+    return MemoryPlan(
+        calls=calls,
+        adopted_calls=calls // 2,
+        call_ids=divisible // 16 // CALL_ID_SIZE,
+    )
--- a/tests/platform/test_releases.py
+++ b/tests/platform/test_releases.py
@@ -5,6 +5,7 @@
 import pytest
 
 from peattrestle.platform import agent, releases
+from peattrestle.platform.call_ids import RecentCallIds
 from tests.platform.test_agent import TAG, Caller, Harness, invite, request
 
 OTHER, THIRD = "00000000000000c2", "00000000000000c3"
@@ -488,6 +489,7 @@
     link = harness.agent.links["s1"]
     assert caller.statuses() == [503] and TAG in link.unconfirmed
     exchange.on_set_up = lambda stream, line: None
+    harness.agent.recent_call_ids = RecentCallIds()  # it was forgotten at its bound
     caller.send(invite())
     harness.advance(60)
     assert exchange.received_verbs() == ["START", "FINISH", "START"] and TAG not in link.unconfirmed
