platform: buffers of all callers' connections are bounded by the memory limit together

Operators saw: hundreds of clients that wrote slowly, stopped half way or sent heads of many short fields took a process over its memory limit. Shown with 32 MB: 41 and 43 MB; callers' set-ups were lost at the limit of connections. Not shown with 192 MB (43 MB, 50 MB sent on 3,425 connections).

Cause: connections were bounded by number and 16 KiB and more each, their sum by nothing; at the limit a caller's idle connection went before strangers', with set-ups unread in its socket; accepting never paused.

Change: the sum is bounded from memory_mb, those that hold most end; unfinished messages are kept as bytes alone; connections that showed least of a caller go first, none with unread input; turns are bounded.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -137,7 +137,7 @@
         self.links: dict[str, Link] = {}
         self.group_sizes: dict[str, float] = {}
         self.memory_plan = self.plan_memory()
-        self.connections = CallerConnections(kernel, self, self.counts, log, self.max_caller_connections)
+        self.connections = CallerConnections(kernel, self, self.counts, log)
         self.releases = CallerReleases(kernel, self.connections.active, self.counts, log)
         self.undelivered_releases: dict[str, deque[tuple[str, bytes]]] = {}
         self.early_releases: OrderedDict[tuple[str, str], int] = OrderedDict()
@@ -208,6 +208,10 @@
         limit = self.config.memory_mb * memory.MIB
         return memory.plan_memory(limit, self.resident, self.max_caller_connections())
 
+    def max_buffered_bytes(self) -> int:
+        """Returns the limit of bytes buffered for all callers' connections together."""
+        return self.memory_plan.buffers
+
     def fits(self, size: int) -> bool:
         """Whether another call of `size` bytes can be held."""
         return len(self.calls) < MAX_CALLS and self.held_bytes + size <= self.memory_plan.calls
@@ -369,6 +373,11 @@
             self.counts.add("left")
             self.caller_left(call)
 
+    def on_caller_seen(self, caller: Caller, evidence: CallerEvidence) -> None:
+        """Records what a connection has shown to be."""
+        self.connections.raise_evidence(caller, evidence)
+        self.releases.on_caller_seen(caller)
+
     def handle_message(self, caller: Caller, message: sip.Message) -> None:
         """Handles one SIP request or response from a caller."""
         match message.method:
@@ -379,7 +388,7 @@
                 caller.stream.write(sip.answer(481 if call is None else 200, message.fields))
                 if call is not None:
                     if call.state == ESTABLISHED:
-                        self.releases.on_caller_seen(caller, CallerEvidence.PROVEN)
+                        self.on_caller_seen(caller, CallerEvidence.PROVEN)
                     self.counts.add("released")
                     self.log("debug", "released by its caller", reference=message.call_id)
                     call.release_cause = sip.cause_of(message)
@@ -412,7 +421,7 @@
             self.log("debug", "bad set-up", reference=message.call_id[:40], why=str(error))
             caller.stream.write(sip.answer(400, message.fields))
             return
-        self.releases.on_caller_seen(caller, CallerEvidence.SET_UP)
+        self.on_caller_seen(caller, CallerEvidence.SET_UP)
         if request.established_exchange:
             self.adopt_established_call(caller, request, now)
             return
@@ -583,7 +592,7 @@
         caller.stream.write(data)
         caller.open_calls.pop(call.request.tag, None)
         if final.kind == ANSWERED:
-            self.releases.on_caller_seen(caller, CallerEvidence.PROVEN)
+            self.on_caller_seen(caller, CallerEvidence.PROVEN)
         self.connections.close_if_done(caller)
         self.keep_only_release(call)
 
@@ -731,6 +740,7 @@
             yield from self.kernel.sleep(SWEEP_INTERVAL)
             now = self.kernel.now()
             self.connections.close_late(now)
+            self.connections.free_buffers()
             for name, link in list(self.links.items()):
                 if link.retired and not link.is_in_use and name not in self.established_calls:
                     self.remove_link(link)
--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import traceback
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Iterable
 from typing import TYPE_CHECKING, Protocol
 
 from peattrestle.calls.core import Counts, Log
@@ -29,7 +30,12 @@
 MAX_DISCARDED_BYTES = 65_536
 DISCARD_PAUSE = 10 * MS  # between full reads of discarded input
 READ_SIZE = 16_384  # bytes
-NEW_CONNECTION_GRACE = 250 * MS  # before a connection without a message is closed first at the limit
+# Since a connection came up, or a message on it began, before it is closed at the limit.
+UNFINISHED_MESSAGE_GRACE = 250 * MS
+MESSAGES_PER_TURN = 8  # of one connection, before other connections have theirs
+ACCEPTS_PER_TURN = 16
+IDLE_CHECKS = 16  # connections with the same evidence looked at for one to close
+BUFFERS_KEPT = 0.75  # of the limit, when buffers are freed
 LINGER_TIME = 50 * MS  # a set-up may still be in flight this long when we close
 
 
@@ -50,6 +56,7 @@
 
     `open_calls` are the calls received on it that await their answer, by Call-ID. `partial_since` is the time
     at which an incomplete message began, 0 without one. `evidence` tells whether a caller is behind it.
+    `buffered_bytes` were counted for it last; `has_backlog`: whole messages wait in its buffer.
     """
 
     __slots__ = (
@@ -63,6 +70,8 @@
         "discarded_bytes",
         "was_reset",
         "evidence",
+        "buffered_bytes",
+        "has_backlog",
     )
 
     def __init__(self, stream: Stream, now: int) -> None:
@@ -74,6 +83,13 @@
         self.discarded_bytes = 0
         self.was_reset = False  # the last bytes written may not have been read
         self.evidence = CallerEvidence.NONE
+        self.buffered_bytes = 0
+        self.has_backlog = False
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the peer has sent something that was not processed."""
+        return self.has_backlog or self.stream.has_unread_input()
 
     def is_late(self, now: int) -> bool:
         """Whether the first message, or the rest of one, is overdue."""
@@ -86,7 +102,15 @@
 
 
 class ConnectionObserver(Protocol):
-    """Callbacks of the connections."""
+    """Limits and callbacks of the connections."""
+
+    def max_caller_connections(self) -> int:
+        """Returns the limit of connections."""
+        ...
+
+    def max_buffered_bytes(self) -> int:
+        """Returns the limit of bytes buffered for all connections together."""
+        ...
 
     def handle_message(self, caller: Caller, message: sip.Message) -> None:
         """Handles one message from a caller."""
@@ -98,28 +122,20 @@
 
 
 class CallerConnections:
-    """All connections from callers, limited to `max_connections()`.
+    """All connections from callers, within the observer's limits.
 
     `active` are the connections in use, the longest silent one first; `lingering` are those whose sending
-    side is closed.
+    side is closed. `buffered_bytes` were received and not processed, or written and not sent.
     """
 
-    def __init__(
-        self,
-        kernel: Kernel,
-        observer: ConnectionObserver,
-        counts: Counts,
-        log: Log,
-        max_connections: Callable[[], int],
-    ) -> None:
-        self.kernel, self.observer, self.counts, self.log, self.max_connections = (
-            kernel,
-            observer,
-            counts,
-            log,
-            max_connections,
-        )
+    def __init__(self, kernel: Kernel, observer: ConnectionObserver, counts: Counts, log: Log) -> None:
+        self.kernel, self.observer, self.counts, self.log = kernel, observer, counts, log
+        self.buffered_bytes = 0
         self.active: OrderedDict[Caller, None] = OrderedDict()
+        # The same connections by their evidence, the longest silent one first.
+        self._by_evidence: tuple[OrderedDict[Caller, None], ...] = tuple(
+            OrderedDict() for _ in CallerEvidence
+        )
         self.lingering: dict[Caller, None] = {}
         self.listener: Listener | None = None
 
@@ -130,17 +146,22 @@
         self.kernel.spawn(supervised(self.kernel, lambda: self.accept(listener), "callers"), "callers")
 
     def accept(self, listener: Listener) -> Coroutine[None]:
-        """Accepts connections until the listener is closed."""
+        """Accepts connections until the listener is closed; other work goes on while they never end."""
+        accepted = 0
         while True:
             try:
                 stream = yield from listener.accept()
             except ConnectionLost:
                 return
             self.add_connection(stream)
+            accepted += 1
+            if accepted % ACCEPTS_PER_TURN == 0:
+                yield from self.kernel.sleep(0)
 
     def add_connection(self, stream: Stream) -> None:
         """Serves a new connection; at the limit, closes an idle one first, or rejects the new one."""
-        if len(self.active) + len(self.lingering) >= self.max_connections() and not self.close_idle():
+        held = len(self.active) + len(self.lingering)
+        if held >= self.observer.max_caller_connections() and not self.close_idle():
             self.counts.add("connections_shed")
             self.log(
                 "warning", "caller connection rejected", why="connection limit reached", held=len(self.active)
@@ -148,21 +169,18 @@
             stream.close()
             return
         caller = Caller(stream, self.kernel.now())
-        self.active[caller] = None
+        self.active[caller] = self._by_evidence[caller.evidence][caller] = None
         self.kernel.spawn(self.serve(caller), "caller")
 
     def close_idle(self) -> bool:
-        """Closes the longest silent connection without open calls; False if there is none.
+        """Closes a connection that is not in use; False if there is none.
 
-        Connections that never sent a message, and are not new, go first; those within a message go last.
+        Connections that have shown least of a caller go first, of equal ones the longest silent one. If all
+        are new or within a message, one that has not sent a valid set-up goes all the same.
         """
-        accepted_before = self.kernel.now() - NEW_CONNECTION_GRACE
-        idle = [caller for caller in self.active if not caller.open_calls]
-        without_message = (
-            caller for caller in idle if not caller.has_sent_message and caller.accepted_at < accepted_before
-        )
-        between_messages = (caller for caller in idle if not caller.partial_since)
-        caller = next(without_message, None) or next(between_messages, None) or next(iter(idle), None)
+        strangers = self._by_evidence[CallerEvidence.NONE]
+        caller = next(filter(None, map(self.find_idle, self._by_evidence)), None)
+        caller = caller or self.find_idle(strangers, with_grace=False)
         if caller is None:
             return False
         self.counts.add("connections_closed")
@@ -170,6 +188,27 @@
         caller.stream.close()
         return True
 
+    def find_idle(self, callers: Iterable[Caller], with_grace: bool = True) -> Caller | None:
+        """Returns the first of some connections on which no set-up is open or on its way.
+
+        `with_grace`: one without a message that is new, or within a message that began lately, is in use.
+        """
+        now = self.kernel.now()
+        for caller in itertools.islice(callers, IDLE_CHECKS):
+            began_at = caller.partial_since or (0 if caller.has_sent_message else caller.accepted_at)
+            if with_grace and now - began_at < UNFINISHED_MESSAGE_GRACE:
+                continue
+            if not caller.open_calls and not caller.close_reason and not caller.has_unread_input:
+                return caller
+        return None
+
+    def raise_evidence(self, caller: Caller, evidence: CallerEvidence) -> None:
+        """Records what an open connection has shown to be."""
+        if evidence > caller.evidence and caller in self.active:
+            del self._by_evidence[caller.evidence][caller]
+            caller.evidence = evidence
+            self._by_evidence[evidence][caller] = None
+
     # Reading.
 
     def serve(self, caller: Caller) -> Coroutine[None]:
@@ -181,7 +220,8 @@
                 if caller.close_reason:
                     self.discard(caller, data)
                 else:
-                    self.on_data(caller, data)
+                    caller.reader.feed(data)
+                    yield from self.process_input(caller)
                 if stream.unsent > MAX_UNSENT_BYTES:
                     why = f"the caller left {stream.unsent} bytes unread"
                     caller.was_reset = True
@@ -197,25 +237,42 @@
             self.lingering.pop(caller, None)
             stream.close()
 
-    def on_data(self, caller: Caller, data: bytes) -> None:
-        """Decodes input and dispatches its messages; a malformed one ends the connection."""
-        reader = caller.reader
-        reader.feed(data)
+    def process_input(self, caller: Caller) -> Coroutine[None]:
+        """Dispatches the messages in the buffer, some in each turn."""
+        while self.dispatch_messages(caller):
+            caller.has_backlog = True
+            yield from self.kernel.sleep(0)
+        caller.has_backlog = False
+        if not caller.reader.has_partial_message:
+            caller.partial_since = 0
+        elif not caller.partial_since:
+            caller.partial_since = self.kernel.now()
+        if caller in self.active:
+            self.active.move_to_end(caller)
+            self._by_evidence[caller.evidence].move_to_end(caller)
+        self.count_buffers(caller)
+        if self.buffered_bytes > self.observer.max_buffered_bytes():
+            self.free_buffers()
+
+    def dispatch_messages(self, caller: Caller) -> bool:
+        """Decodes and dispatches some messages; a malformed one ends the connection.
+
+        Returns whether there may be more.
+        """
         try:
-            while not caller.close_reason and (message := reader.next()) is not None:
+            for _ in range(MESSAGES_PER_TURN):
+                message = caller.reader.next() if not caller.close_reason else None
+                if message is None:
+                    return False
                 caller.has_sent_message, caller.partial_since = True, 0
                 self.dispatch(caller, message)
         except sip.BadMessage as error:
             self.counts.add("bad_messages")
             caller.stream.write(sip.answer(error.status, {}))
+            caller.reader.clear()
             self.begin_close(caller, f"bad message: {error}")
-            return
-        if not reader.has_partial_message:
-            caller.partial_since = 0
-        elif not caller.partial_since:
-            caller.partial_since = self.kernel.now()
-        if caller in self.active:
-            self.active.move_to_end(caller)
+            return False
+        return True
 
     def dispatch(self, caller: Caller, message: sip.Message) -> None:
         """Passes a message to the observer.
@@ -238,6 +295,38 @@
         if caller.discarded_bytes > MAX_DISCARDED_BYTES and not caller.open_calls:
             caller.stream.close()
 
+    # Memory.
+
+    def count_buffers(self, caller: Caller) -> None:
+        """Counts the bytes that are buffered for a connection now."""
+        held = caller.reader.buffered_bytes + caller.stream.unsent if caller in self.active else 0
+        self.buffered_bytes += held - caller.buffered_bytes
+        caller.buffered_bytes = held
+
+    def free_buffers(self) -> None:
+        """Ends the connections that hold most, if all together are over the limit.
+
+        One that does not read what it is sent is reset; of one that has sent part of a message that part is
+        dropped, and it is closed once its open calls are answered.
+        """
+        for caller in self.active:
+            self.count_buffers(caller)
+        limit = self.observer.max_buffered_bytes()
+        if self.buffered_bytes <= limit:
+            return
+        for caller in sorted(self.active, key=lambda caller: -caller.buffered_bytes):
+            if self.buffered_bytes <= limit * BUFFERS_KEPT:
+                break
+            self.counts.add("connections_ended_for_memory")
+            if caller.stream.unsent > caller.reader.buffered_bytes:
+                caller.was_reset = True
+                caller.stream.abort()
+            else:
+                caller.reader.clear()
+                caller.stream.write(sip.answer(503, {}))
+                self.begin_close(caller, "memory limit reached")
+            self.count_buffers(caller)
+
     # Ending.
 
     def begin_close(self, caller: Caller, why: str) -> None:
@@ -259,7 +348,9 @@
         """Removes a connection; its open calls need no answer any more."""
         if caller not in self.active:
             return
-        del self.active[caller]
+        del self.active[caller], self._by_evidence[caller.evidence][caller]
+        caller.reader.clear()  # calls may refer to the connection for long
+        self.count_buffers(caller)
         open_calls = list(caller.open_calls)
         self.log("debug", "caller connection ended", why=why, peer=caller.stream.peer, open=open_calls)
         self.observer.on_connection_ended(caller)
@@ -267,6 +358,8 @@
     def close_late(self, now: int) -> None:
         """Answers connections whose first or current message is overdue with 408, and closes them."""
         for caller in [caller for caller in self.active if caller.is_late(now)]:
+            if caller.has_unread_input:
+                continue  # the rest may be there: it is this agent that is late
             self.counts.add("late_callers")
             caller.stream.write(sip.answer(408, {}))
             self.begin_close(
--- a/peattrestle/platform/memory.py
+++ b/peattrestle/platform/memory.py
@@ -35,11 +35,13 @@
     """The bounds that follow from a memory limit.
 
     `calls` are the bytes for all calls; `adopted_calls` is the part of them for those that callers only named
-    as established, so that they leave room for new calls. `call_ids` is the number of Call-IDs remembered.
+    as established, so that they leave room for new calls. `buffers` are the bytes received or written on
+    callers' connections that are not processed or sent yet. `call_ids` is the number of Call-IDs remembered.
     """
 
     calls: int
     adopted_calls: int
+    buffers: int
     call_ids: int
 
 
@@ -54,5 +56,6 @@
     return MemoryPlan(
         calls=calls,
         adopted_calls=calls // 2,
+        buffers=divisible // 4,
         call_ids=divisible // 16 // CALL_ID_SIZE,
     )
--- a/peattrestle/platform/releases.py
+++ b/peattrestle/platform/releases.py
@@ -97,9 +97,8 @@
             self._deliver(release, caller)
         return True
 
-    def on_caller_seen(self, caller: Caller, evidence: CallerEvidence) -> None:
-        """Records what a connection has shown to be, and sends the waiting releases on it."""
-        caller.evidence = max(caller.evidence, evidence)
+    def on_caller_seen(self, caller: Caller) -> None:
+        """Handles a valid set-up, or further evidence, on a connection: waiting releases are sent on it."""
         if caller not in self.active or caller.close_reason:
             return
         if caller not in self._number_of:
--- a/peattrestle/runtime/epoll.py
+++ b/peattrestle/runtime/epoll.py
@@ -137,10 +137,15 @@
                     self._update_mask()
 
     def peer_has_closed(self) -> bool:
-        if self.handle.fd < 0:
-            return True
+        return self.handle.fd < 0 or self._is_ready(PEER_CLOSED)
+
+    def has_unread_input(self) -> bool:
+        return self.handle.fd >= 0 and self._is_ready(select.POLLIN)
+
+    def _is_ready(self, mask: int) -> bool:
+        """Whether one of these events of `select.poll` is pending."""
         poll = select.poll()
-        poll.register(self.handle.fd, PEER_CLOSED)
+        poll.register(self.handle.fd, mask)
         return bool(poll.poll(0))
 
     def write(self, data: bytes) -> None:
--- a/peattrestle/runtime/kernel.py
+++ b/peattrestle/runtime/kernel.py
@@ -274,6 +274,10 @@
         """Whether the peer is known to have closed or reset the connection, though bytes may be unread."""
         raise NotImplementedError
 
+    def has_unread_input(self) -> bool:
+        """Whether bytes of the peer, or the end of its side, have arrived that were not read."""
+        raise NotImplementedError
+
     def write(self, data: bytes) -> None:
         """Buffers all bytes; after the connection is lost they are discarded.
 
--- a/peattrestle/runtime/virtual.py
+++ b/peattrestle/runtime/virtual.py
@@ -173,6 +173,9 @@
     def peer_has_closed(self) -> bool:
         return self._closed or self._at_end
 
+    def has_unread_input(self) -> bool:
+        return not self._closed and (bool(self._received) or self._at_end)
+
     # Closing.
 
     def _shut(self, reason: str) -> None:
--- a/peattrestle/sip/text.py
+++ b/peattrestle/sip/text.py
@@ -85,55 +85,72 @@
 
 
 class Reader:
-    """Incremental decoder: takes bytes, returns messages. Unusable after it raised `BadMessage`."""
+    """Incremental decoder: takes bytes, returns messages. Unusable after it raised `BadMessage`.
+
+    An incomplete message is kept as the bytes received, so that what a reader holds is what it was sent.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._searched = 0  # buffered bytes in which the end of the header was not found
-        self._message: Message | None = None  # decoded header whose body is incomplete
-        self._length = 0  # of its body, in bytes
+        self._size = 0  # of the first message, once its header is complete
 
     @property
     def has_partial_message(self) -> bool:
         """Whether part of a message is buffered."""
-        return bool(self._buffer) or self._message is not None
+        return bool(self._buffer)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes buffered."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> None:
         """Appends received bytes to the buffer."""
         self._buffer += data
 
+    def clear(self) -> None:
+        """Drops what is buffered."""
+        self._buffer = bytearray()
+        self._searched = self._size = 0
+
     def next(self) -> Message | None:
         """Returns the next complete message, None if more bytes are needed. Raises BadMessage."""
         buffer = self._buffer
-        if self._message is None:
-            while buffer[:2] == b"\r\n":  # RFC 3261, section 7.5: empty lines before a message are ignored
-                del buffer[:2]
-            end = buffer.find(b"\r\n\r\n", max(0, self._searched - 3))
-            if end < 0:
-                self._searched = len(buffer)
-                if len(buffer) > MAX_MESSAGE_BYTES:
-                    raise BadMessage(f"header longer than {MAX_MESSAGE_BYTES} bytes", 413)
-                return None
-            if end + 4 > MAX_MESSAGE_BYTES:
+        if len(buffer) < self._size:
+            return None
+        while buffer[:2] == b"\r\n":  # RFC 3261, section 7.5: empty lines before a message are ignored
+            del buffer[:2]
+        end = buffer.find(b"\r\n\r\n", max(0, self._searched - 3))
+        if end < 0:
+            self._searched = len(buffer)
+            if len(buffer) > MAX_MESSAGE_BYTES:
                 raise BadMessage(f"header longer than {MAX_MESSAGE_BYTES} bytes", 413)
-            try:
-                message = _parse_head(buffer[:end].decode())
-            except UnicodeDecodeError:
-                raise BadMessage("header: not UTF-8") from None
-            length = message.fields.get("content-length", "")
-            if not _is_digits(length):
-                raise BadMessage(f"Content-Length: '{length[:20]}' is not a length")
-            if len(length) > 6 or end + 4 + int(length) > MAX_MESSAGE_BYTES:
-                raise BadMessage(f"message longer than {MAX_MESSAGE_BYTES} bytes", 413)
-            self._message, self._length, self._searched = message, int(length), 0
-            del buffer[: end + 4]
-        if len(buffer) < self._length:
             return None
-        message, self._message = self._message, None
-        message.body = bytes(buffer[: self._length])
-        del buffer[: self._length]
+        message, size = self._parse(end)
+        if len(buffer) < size:
+            self._searched, self._size = end, size
+            return None
+        self._searched = self._size = 0
+        message.body = bytes(buffer[end + 4 : size])
+        del buffer[:size]
         return message
 
+    def _parse(self, end: int) -> tuple[Message, int]:
+        """Decodes the header that ends at `end`; returns it and the size of the whole message."""
+        if end + 4 > MAX_MESSAGE_BYTES:
+            raise BadMessage(f"header longer than {MAX_MESSAGE_BYTES} bytes", 413)
+        try:
+            message = _parse_head(self._buffer[:end].decode())
+        except UnicodeDecodeError:
+            raise BadMessage("header: not UTF-8") from None
+        length = message.fields.get("content-length", "")
+        if not _is_digits(length):
+            raise BadMessage(f"Content-Length: '{length[:20]}' is not a length")
+        if len(length) > 6 or end + 4 + int(length) > MAX_MESSAGE_BYTES:
+            raise BadMessage(f"message longer than {MAX_MESSAGE_BYTES} bytes", 413)
+        return message, end + 4 + int(length)
+
 
 # Reason phrases by status code (RFC 3261, section 21).
 REASONS = {
--- a/peattrestle/trials/exchange.py
+++ b/peattrestle/trials/exchange.py
@@ -9,7 +9,7 @@
 
 from peattrestle.exchangeline import lines
 from peattrestle.runtime import ConnectionLost, Coroutine, Kernel, Listener, Stream
-from peattrestle.trials.record import Attempt, AttemptEnd, Record
+from peattrestle.trials.record import STRANGER_PREFIX, Attempt, AttemptEnd, Record
 
 MS = 1_000_000  # nanoseconds
 REPORT_INTERVAL = 100 * MS
@@ -53,6 +53,7 @@
         self.rng, self.holding_time = rng, holding_time
         self.behaviours: dict[Behaviour, float] = {}
         self.delay = (2 * MS, 60 * MS)
+        self.unanswered_strangers = 0.1  # share of the set-ups of strangers
         self.late_report_share = 0.0  # share of connections on which the first load report is late
         self.silent = False
         self.alive = True
@@ -137,6 +138,9 @@
     def handle_set_up(self, stream: Stream, line: lines.Line) -> None:
         """Records the attempt and reacts to it with a random behaviour."""
         now = self.kernel.now()
+        if line.tag.startswith(STRANGER_PREFIX):
+            self.handle_stranger(stream, line.tag)
+            return
         if line.tag not in self.record.requests:
             self.record.unsolicited.append(f"{self.name} got a set-up {line.tag} that no caller sent")
             return
@@ -147,6 +151,16 @@
         delay = self.rng.randint(*self.delay)
         self.kernel.spawn(self.perform(stream, attempt, behaviour, delay), "set-up")
 
+    def handle_stranger(self, stream: Stream, tag: str) -> None:
+        """Records the attempt of a client that is no caller, and refuses it as an error or never answers."""
+        attempt = Attempt(tag, self.name, self.kernel.now())
+        self.record.stranger_attempts.append(attempt)
+        if self.rng.random() < self.unanswered_strangers:
+            self.pending[stream, tag] = attempt
+            return
+        self.end_attempt(attempt, AttemptEnd.REFUSED)
+        self.send(stream, {"verb": "FINISH", "tag": tag, "rc": lines.BUSY})
+
     def random_behaviour(self) -> Behaviour:
         """Returns a behaviour by its share, else ANSWER."""
         remaining = self.rng.random()
--- a/peattrestle/trials/record.py
+++ b/peattrestle/trials/record.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 STATUS_OK = 200
+STRANGER_PREFIX = "bad"  # of the Call-IDs of clients that are no callers
 
 
 class ConnectionEnd(enum.Enum):
@@ -124,7 +125,10 @@
 
 @dataclass(slots=True)
 class Record:
-    """Everything that one trial has observed; `events` are the lines of its timeline."""
+    """Everything that one trial has observed.
+
+    `stranger_attempts` are those of clients that are no callers, `events` the lines of its timeline.
+    """
 
     requests: dict[str, Request] = field(default_factory=dict)
     attempts: list[Attempt] = field(default_factory=list)
@@ -133,6 +137,7 @@
     departures: dict[str, Departure] = field(default_factory=dict)
     abusive_unanswered: list[str] = field(default_factory=list)
     unsolicited: list[str] = field(default_factory=list)
+    stranger_attempts: list[Attempt] = field(default_factory=list)
     events: list[tuple[int, str]] = field(default_factory=list)
     observer_lag: int = 0  # largest scheduling delay of the stand-ins; observed times may be late by as much
 
