platform: work that reached a new process under the old name is released there

Operators saw: a new process came up at the address of one that had gone and was taken for the old one; work went to the wrong place or ran twice. Shown by tests on virtual time.

Cause: when the list gave an address to another exchange, set-ups and calls on the old link ended towards callers alone; and connections to an address that an exchange had left stayed in use.

Change: what may stand at the new process is released on its link before any set-up; connections to a left address are given up, also one that comes up later; their set-ups end as reset and are released.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -285,32 +285,41 @@
         """Creates or redirects the link of an exchange that is new, back, or at a new address.
 
         A link of another exchange to the same address is removed, since that exchange cannot be there any
-        more.
+        more. What was sent on that link may have reached the new exchange before the list told of it: calls
+        and set-ups that may be there are released there, since they count as over here.
         """
+        tags: list[str] = []
         for name, other in list(self.links.items()):
             if name != member.exchange and other.address == member.address:
-                self.on_address_taken_over(other)
+                tags += self.on_address_taken_over(other)
         link = self.links.get(member.exchange)
         if link is None:
-            self.links[member.exchange] = Link(
+            link = self.links[member.exchange] = Link(
                 self.kernel, self, member.exchange, member.address, self.dial_timeout
             )
         else:
             link.reconnect(member.address)
+        for tag in tags:
+            self.release_at_exchange(link, tag, lines.encode_release(tag, lines.NORMAL))
 
-    def on_address_taken_over(self, link: Link) -> None:
+    def on_address_taken_over(self, link: Link) -> list[str]:
         """Removes the link of an exchange whose address now belongs to another one, and ends its calls.
 
-        The old process is gone with all its calls; its connections may already reach the new one.
+        The old process is gone with all its calls; its connections may already reach the new one. Returns the
+        Call-IDs of what may stand there.
         """
         link.retired = True
         self.remove_link(link)
+        tags = list(self.established_calls.get(link.exchange, {}))
         for route_try in list(link.tries.values()):
             waited = route_try.connection is None
+            if not waited:
+                tags.append(route_try.call.request.tag)
             self.fail_try(
                 route_try, "connect_failed" if waited else "reset", send_release=False, cut_off=not waited
             )
         self.end_calls_at(link.exchange)
+        return tags
 
     def retire_link(self, exchange: str) -> None:
         """Stops reconnecting to an exchange; its link remains while it has pending or established calls."""
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -93,13 +93,16 @@
         link, delay = self.link, MIN_RETRY_DELAY
         while not link.is_closing:
             started_at = self.kernel.now()
-            has_received = False
+            has_received, address = False, link.address
             try:
-                stream = yield from self.kernel.connect(link.address, link.dial_timeout)
+                stream = yield from self.kernel.connect(address, link.dial_timeout)
             except (ConnectFailed, ValueError) as error:
                 link.connect_failed = True
                 link.observer.on_link_refused(link, "ECONNREFUSED" in str(error))
             else:
+                if link.address != address:  # another process may listen there now
+                    stream.abort()
+                    continue
                 try:
                     why = "link closed" if link.is_closing else (yield from self.receive_lines(stream))
                 except Exception:
@@ -236,7 +239,14 @@
         return bool(self.tries or self.unconfirmed)
 
     def reconnect(self, address: str) -> None:
-        """Connects to `address` from now on, also after the link was retired."""
+        """Connects to `address` from now on, also after the link was retired.
+
+        Connections to another address are given up, since another process may answer there now.
+        """
+        if address != self.address:
+            for connection in self.connections:
+                if connection.stream is not None:
+                    connection.stream.abort()
         self.address, self.retired = address, False
         for connection in self.connections:
             if connection.task.done:
--- a/tests/platform/test_replacement.py
+++ b/tests/platform/test_replacement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform.test_agent import MS, Harness, apply_feed_event, event, host, invite
+from tests.platform.test_agent import MS, Exchange, Harness, apply_feed_event, event, host, invite
 
 OLD_CALL, NEW_CALL = "00000000000000b1", "00000000000000b2"
 
@@ -92,3 +92,50 @@
     harness.advance(3000)
     assert len(caller.statuses()) == 1 and caller.statuses() != [200]
     harness.assert_idle()
+
+
+def test_a_set_up_that_another_exchange_answered_at_a_reused_address_is_released_there() -> None:
+    # Guards against a call that stands at a new process, taken for the old one, and runs elsewhere too.
+    harness = Harness()
+    exchange = harness.exchanges[1]
+    exchange.on_set_up = lambda stream, line: None
+    harness.caller(invite(OLD_CALL, X_Timer_Ms="3000"))
+    assert OLD_CALL in exchange.stream_of
+    apply_feed_event(harness, 2, host("s9", 1))
+    harness.advance(300)
+    assert ("FINISH", OLD_CALL) in [(line.verb, line.tag) for line in exchange.lines]
+
+
+def test_a_call_at_a_reused_address_is_released_there_too() -> None:
+    # The list may be late: calls set up at the new process under the old name would stand there alone.
+    harness = Harness()
+    caller = harness.caller(invite(OLD_CALL))
+    apply_feed_event(harness, 2, host("s9", 1))
+    harness.advance(300)
+    assert caller.release_reasons() == ["Q.850;cause=41"]
+    assert ("FINISH", OLD_CALL) in [(line.verb, line.tag) for line in harness.exchanges[1].lines]
+
+
+def test_set_ups_for_an_exchange_at_a_new_address_do_not_go_to_its_old_one() -> None:
+    # Guards against work sent to whatever answers at the address that the exchange has left.
+    harness = Harness()
+    moved = Exchange(harness, 7)
+    apply_feed_event(harness, 2, host("s1", 1, dial="127.0.1.7:3868"))
+    harness.advance(300)
+    caller = harness.caller(invite(NEW_CALL))
+    assert caller.statuses() == [200]
+    assert NEW_CALL in moved.stream_of and NEW_CALL not in harness.exchanges[1].stream_of
+
+
+def test_a_connection_that_comes_up_at_the_old_address_is_not_used() -> None:
+    # The address may change at any moment while a connection to the old one is being made.
+    for moved_after_ms in range(30):
+        harness = Harness()
+        harness.exchanges[1].crash()
+        old, moved = Exchange(harness, 1), Exchange(harness, 7)
+        harness.advance(moved_after_ms)
+        apply_feed_event(harness, 2, host("s1", 1, dial="127.0.1.7:3868"))
+        harness.advance(500)
+        caller = harness.caller(invite(NEW_CALL))
+        assert caller.statuses() == [200]
+        assert NEW_CALL in moved.stream_of and NEW_CALL not in old.stream_of
