agent: set-ups that a gateway left unread are not sent on

A gateway's set-up is asked for the state of its connection first, and its kept reply says that it failed.

--- a/peattrestle/agent/agent.py
+++ b/peattrestle/agent/agent.py
@@ -231,6 +231,13 @@
                 ),
             )
             return
+        if not transit and requester.stream is not None and requester.stream.peer_has_closed():
+            self.counts.add("left_unread")
+            outcome = Outcome(package.FAILED, text="the caller left")
+            requester.transactions.answer(
+                transaction_id, package.outcome_text(transaction_id, request.termination, outcome)
+            )
+            return
         if request.termination in requester.calls:
             self.counts.add("bad_requests")
             requester.reply(
--- a/tests/agent/test_bounds.py
+++ b/tests/agent/test_bounds.py
@@ -265,6 +265,30 @@
     assert harness.agent.calls == {} and harness.world.network.leaks() == 0
 
 
+def test_requests_that_a_gateway_left_unread_are_not_sent_on() -> None:
+    # Guards against set-ups for a gateway whose connection has ended; a repeat is told that they failed.
+    harness = AgentHarness(Limits())
+
+    def body() -> Coroutine[None]:
+        yield from harness.kernel.sleep(SECOND)
+        session, stream = yield from harness.gateway()
+        harness.kernel.spawn(harness.listen(session, stream), "listen")
+        yield from harness.kernel.sleep(20 * MS)
+        (requester,) = harness.agent.requesters.known.values()
+        assert requester.stream is not None
+        requester.stream.peer_has_closed = lambda: True  # type: ignore[method-assign]
+        harness.call(session, 1)
+        yield from harness.kernel.sleep(2 * SECOND)
+        repeat = SetUpRequest("c/1", "line", 1, 3 * SECOND, reference="g0/1")
+        transaction_id = max(session.transactions.open)
+        session.send(package.add_text(transaction_id, repeat))
+        yield from harness.kernel.sleep(100 * MS)
+
+    harness.run(body())
+    assert harness.answers() == {1: (package.FAILED, 0)}
+    assert harness.agent.counts.values.get("route_tries", 0) == 0 and harness.agent.calls == {}
+
+
 def test_an_unanswered_hello_is_repeated_until_the_restart_is_known() -> None:
     """Guards against a lost hello reply: the agent misses the restart and keeps transit calls for ever."""
     harness = AgentHarness(Limits())
