platform: a stranger's confirmation does not end a release while its callers are away

All callers were away when the calls ended; strangers came first, got the releases, one confirmed each, and that ended them.

Cause: a 200 from a connection that had only sent set-ups counted once all open connections had the release.

Change: it never ends a release; later connections get it too, for 8 s from the end of the call where somebody confirmed it, else for 60 s. Candidates are logged by round, not one by one.

--- a/peattrestle/platform/releases.py
+++ b/peattrestle/platform/releases.py
@@ -79,6 +79,7 @@
         own = own_connection if own_connection in self.active else None
         if own is not None and not own.close_reason and own.evidence is not CallerEvidence.PROVEN:
             self._write(release, own)
+            self.log("debug", "release sent", reference=call_id)
             release.caller, release.round_at = own, self.kernel.now() + OWN_CONNECTION_WAIT
             self._store(release)
             return
@@ -118,7 +119,8 @@
         """Handles a response to a BYE.
 
         Only a connection known to be a caller's, or the one chosen for this release, confirms it. A candidate
-        may be a peer that confirms what is not its own, so all candidates get the release before that counts.
+        may be a peer that confirms what is not its own, so other candidates get the release all the same,
+        also later ones, until its caller must have had it.
         """
         is_proven = caller.evidence is CallerEvidence.PROVEN
         if status != STATUS_OK and not is_proven:
@@ -129,9 +131,8 @@
         if is_proven or release.caller is caller:
             self._forget(call_id)
             self.counts.add("releases_confirmed")
-        elif call_id in self.undelivered:
+        else:
             release.confirmed = True
-            self._forget_if_confirmed(release)
 
     def on_connection_ended(self, caller: Caller) -> None:
         """Handles a closed connection: releases that its caller may not have read are sent on another one."""
@@ -148,11 +149,12 @@
 
     def expire(self, now: int) -> None:
         """Drops releases that have been owed for too long."""
-        while self.undelivered:
-            release = next(iter(self.undelivered.values()))
-            if release.owed_since >= now - UNDELIVERED_RETENTION:
-                break
-            self._drop(release, "no connection known to be a caller's")
+        for release in list(self.undelivered.values()):
+            if release.confirmed and release.owed_since < now - UNCONFIRMED_RETENTION:
+                self._forget(release.call_id)
+                self.counts.add("releases_confirmed")
+            elif release.owed_since < now - UNDELIVERED_RETENTION:
+                self._drop(release, "no connection known to be a caller's")
         while self.unconfirmed:
             release = next(iter(self.unconfirmed.values()))
             if release.sent_at >= now - UNCONFIRMED_RETENTION:
@@ -194,6 +196,7 @@
         number = self._number_of.get(caller, release.next_candidate)
         if release.caller is not caller and number >= release.next_candidate:
             self._write(release, caller)
+            self.log("debug", "release sent", reference=release.call_id)
         release.caller = caller
         self._make_room()
         self.unconfirmed[release.call_id] = release
@@ -202,7 +205,6 @@
         caller.stream.write(release.data)
         self.counts.add("releases_sent_again" if release.sent_at else "releases_sent")
         release.sent_at = self.kernel.now()
-        self.log("debug", "release sent", reference=release.call_id)
 
     # Candidates.
 
@@ -234,19 +236,14 @@
             release.next_candidate = chosen[-1] + 1
             release.round_size *= 2
             release.round_at = self.kernel.now() + MIN_ROUND_GAP
-        self._forget_if_confirmed(release)
+            fields = {"reference": release.call_id, "connections": len(chosen)}
+            self.log("debug", "release sent to candidates", **fields)
         return len(chosen)
 
     def _has_all(self, release: Release) -> bool:
         """Whether all present candidates have got the release."""
         return not self._candidates or release.next_candidate > next(reversed(self._candidates))
 
-    def _forget_if_confirmed(self, release: Release) -> None:
-        """Ends a release that a candidate has confirmed once all the others have got it too."""
-        if release.confirmed and self._has_all(release):
-            self._forget(release.call_id)
-            self.counts.add("releases_confirmed")
-
     # Dropping.
 
     def _forget(self, call_id: str) -> None:
--- a/tests/platform/test_releases.py
+++ b/tests/platform/test_releases.py
@@ -212,9 +212,24 @@
         confirm(stranger, tag)
         harness.advance(900)
     assert len(caller.release_reasons()) == 2
+    harness.advance(8_000)
     assert not harness.agent.releases.undelivered
 
 
+def test_a_stranger_that_confirms_while_no_caller_is_connected_ends_no_release() -> None:
+    # Guards against a release that strangers confirmed before its caller was back. Found by drawn trial 5.
+    harness = Harness()
+    harness.caller(invite()).stream.close()
+    harness.advance(50)
+    release_at_exchange(harness)
+    stranger = refused_caller(harness)
+    harness.advance(100)
+    assert stranger.release_reasons() == ["Q.850;cause=16"]
+    confirm(stranger)
+    harness.advance(5_000)
+    assert refused_caller(harness, THIRD).release_reasons() == ["Q.850;cause=16"]
+
+
 def test_a_release_goes_to_no_stranger_while_a_connection_is_known_to_be_a_callers() -> None:
     harness = Harness()
     harness.caller(invite()).stream.close()
