--- a/peattrestle/trials/caller.py
+++ b/peattrestle/trials/caller.py
@@ -8,12 +8,20 @@
 from peattrestle.runtime import ConnectFailed, ConnectionLost, Coroutine, Kernel, Stream
 from peattrestle.sip import text as sip
 from peattrestle.trials.deployment import BEARER_TYPE, Deployment
-from peattrestle.trials.record import Answer, CallerConnection, ConnectionEnd, Record, Request
+from peattrestle.trials.record import (
+    STRANGER_PREFIX,
+    Answer,
+    CallerConnection,
+    ConnectionEnd,
+    Record,
+    Request,
+)
 
 MS = 1_000_000  # nanoseconds
 CONNECT_TIMEOUT = 1_000 * MS
 IDLE_POLL_INTERVAL = 20 * MS
 ABUSE_RESPONSE_TIMEOUT = 3_000 * MS
+STRANGER_PAUSE = 50 * MS  # before it asks again
 
 
 def invite_message(call_id: str, number: str, timeout_ms: int, destination: int, description: str) -> bytes:
@@ -319,6 +327,65 @@
             driver.stream.abort()
 
 
+class Stranger:
+    """A client that is no caller: it sends valid set-ups that no exchange serves.
+
+    `confirms`: it confirms every release it gets, else it ignores them.
+    """
+
+    def __init__(self, kernel: Kernel, record: Record, address: str, rng: random.Random) -> None:
+        self.kernel, self.record, self.address, self.rng = kernel, record, address, rng
+        self.confirms = rng.random() < 0.5
+
+    def next_request(self) -> tuple[str, bytes]:
+        """Returns a new Call-ID and its set-up."""
+        call_id = f"{STRANGER_PREFIX}{self.rng.getrandbits(52):013x}"
+        return call_id, invite_message(call_id, call_id, 1_000, self.rng.randint(0, 3), "v=0\r\n")
+
+    def keep_asking(self, duration: int) -> Coroutine[None]:
+        """Asks again whenever it is refused, for `duration` nanoseconds."""
+        try:
+            stream = yield from self.kernel.connect(self.address, CONNECT_TIMEOUT)
+        except ConnectFailed:
+            return
+        reader, until = sip.Reader(), self.kernel.now() + duration
+        self.kernel.call_at(until, stream.close)
+        stream.write(self.next_request()[1])
+        try:
+            while data := (yield from stream.read()):
+                reader.feed(data)
+                while (message := reader.next()) is not None:
+                    yield from self.respond(stream, message)
+        except (ConnectionLost, sip.BadMessage):
+            pass
+        stream.close()
+
+    def respond(self, stream: Stream, message: sip.Message) -> Coroutine[None]:
+        """Asks again after an answer; confirms a release or ignores it."""
+        if message.method == "BYE" and self.confirms:
+            stream.write(sip.answer(200, message.fields))
+        elif message.status and message.fields.get("cseq", "").endswith("INVITE"):
+            yield from self.kernel.sleep(STRANGER_PAUSE)
+            stream.write(self.next_request()[1])
+
+    def leave_with_input_unread(self, requests: int) -> Coroutine[None]:
+        """Sends many set-ups and leaves at once; sends some of them again on another connection."""
+        sent = [self.next_request() for _ in range(requests)]
+        for chosen in (sent, self.rng.sample(sent, requests // 4)):
+            try:
+                stream = yield from self.kernel.connect(self.address, CONNECT_TIMEOUT)
+            except ConnectFailed:
+                return
+            stream.write(b"".join(data for _, data in chosen))
+            yield from self.kernel.sleep(self.rng.randint(0, 20) * MS)
+            if self.rng.random() < 0.5:
+                stream.abort()
+            else:
+                stream.close()
+            for call_id, _ in chosen:
+                self.record.strangers_left[call_id] = self.kernel.now()
+
+
 # Invalid, incomplete and missing messages; the agent has to answer each or to close its connection.
 ABUSIVE_INPUTS = (
     b"\x00\x01\x02\r\n\r\n",
--- a/peattrestle/trials/exchange.py
+++ b/peattrestle/trials/exchange.py
@@ -138,7 +138,7 @@
     def handle_set_up(self, stream: Stream, line: lines.Line) -> None:
         """Records the attempt and reacts to it with a random behaviour."""
         now = self.kernel.now()
-        if line.tag.startswith(STRANGER_PREFIX):
+        if line.tag.startswith(STRANGER_PREFIX) and line.tag not in self.record.requests:
             self.handle_stranger(stream, line.tag)
             return
         if line.tag not in self.record.requests:
--- a/peattrestle/trials/feed.py
+++ b/peattrestle/trials/feed.py
@@ -27,16 +27,26 @@
 
 @dataclass(slots=True, frozen=True)
 class Host:
-    """An exchange as the feed lists it; `address_index` selects the address on which it listens."""
+    """An exchange as the feed lists it.
+
+    `address_index` selects the address on which it listens, `born_ms` is a late start in Unix milliseconds.
+    """
 
     name: str
     number: int
     address_index: int
     state: str = "SERVING"
+    born_ms: int = 0
 
     def payload(self, address: str) -> dict[str, Any]:
         """Returns the exchange as it is encoded in an event."""
-        return {"host": self.name, "dial": address, "block": self.number, "health": self.state, "born_ms": 0}
+        return {
+            "host": self.name,
+            "dial": address,
+            "block": self.number,
+            "health": self.state,
+            "born_ms": self.born_ms,
+        }
 
 
 @dataclass(slots=True)
--- a/peattrestle/trials/random_trial.py
+++ b/peattrestle/trials/random_trial.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from peattrestle.runtime import Coroutine
-from peattrestle.trials.caller import ABUSIVE_INPUTS, AbusiveCaller, CallerBehaviour
+from peattrestle.trials.caller import ABUSIVE_INPUTS, AbusiveCaller, CallerBehaviour, Stranger
 from peattrestle.trials.deployment import Deployment
 from peattrestle.trials.environment import TrialEnvironment, free_port
 from peattrestle.trials.exchange import Behaviour, StandInExchange
@@ -68,12 +68,14 @@
 class Trial:
     """One random trial. The seed determines what happens; the exact moments depend on real time.
 
-    Troubles of callers are drawn by a generator of their own, `caller_rng`.
+    Troubles of callers are drawn by a generator of their own, `caller_rng`, and those of strangers and of
+    exchanges that restart unlisted by `stranger_rng`.
     """
 
     def __init__(self, seed: int, directory: Path, in_bursts: bool = False) -> None:
         self.seed, self.rng = seed, random.Random(f"trial/{seed}")
         self.caller_rng = random.Random(f"trial/{seed}/callers")
+        self.stranger_rng = random.Random(f"trial/{seed}/strangers")
         deployment = draw_deployment(seed, self.rng)
         caller_behaviour = CallerBehaviour(
             mean_interval=self.rng.choice((10, 25, 60)) * MS,
@@ -101,6 +103,8 @@
         plan.append(PlannedTrouble("restarts", self.rng.randint(500, 2_500) * MS))
         for name in self.caller_rng.sample(sorted(CALLER_TROUBLES), self.caller_rng.randint(0, 2)):
             plan.append(PlannedTrouble(name, self.caller_rng.randint(0, TROUBLE_DURATION // MS) * MS))
+        for name in self.stranger_rng.sample(sorted(STRANGER_TROUBLES), self.stranger_rng.randint(0, 2)):
+            plan.append(PlannedTrouble(name, self.stranger_rng.randint(0, TROUBLE_DURATION // MS) * MS))
         return sorted(plan, key=lambda planned: planned.at)
 
     def draw_behaviours(self, exchange: StandInExchange) -> None:
@@ -135,7 +139,7 @@
         """Waits until the trouble is due and runs it."""
         yield from self.environment.kernel.sleep(planned.at)
         self.environment.record.add_event(self.environment.kernel.now(), f"trouble: {planned.name}")
-        yield from (TROUBLES | CALLER_TROUBLES)[planned.name](self)
+        yield from (TROUBLES | CALLER_TROUBLES | STRANGER_TROUBLES)[planned.name](self)
 
     # Random choices.
 
@@ -304,3 +308,41 @@
     "absent callers": absent_callers,
     "refused callers": refused_callers,
 }
+
+
+def strangers(trial: Trial) -> Coroutine[None]:
+    """Clients that no exchange serves ask one agent again and again, also while calls end."""
+    environment, rng = trial.environment, trial.stranger_rng
+    address = environment.deployment.agent_address(rng.randrange(environment.deployment.agents))
+    duration = rng.randint(1_000, 9_000) * MS
+    for _ in range(rng.choice((3, 20, 60))):
+        stranger = Stranger(environment.kernel, environment.record, address, rng)
+        environment.kernel.spawn(stranger.keep_asking(duration), "stranger")
+    yield from environment.kernel.sleep(duration)
+
+
+def leaving_clients(trial: Trial) -> Coroutine[None]:
+    """Clients leave with much unread, and send the same again."""
+    environment, rng = trial.environment, trial.stranger_rng
+    for _ in range(rng.randint(1, 4)):
+        address = environment.deployment.agent_address(rng.randrange(environment.deployment.agents))
+        stranger = Stranger(environment.kernel, environment.record, address, rng)
+        yield from stranger.leave_with_input_unread(rng.choice((20, 200, 1_000)))
+        yield from environment.kernel.sleep(rng.randint(0, 300) * MS)
+
+
+def unlisted_restart(trial: Trial) -> Coroutine[None]:
+    """An exchange goes and comes back before its list does: it is removed late, and then named again."""
+    environment, rng = trial.environment, trial.stranger_rng
+    name = rng.choice(sorted(environment.exchanges))
+    if environment.hosts[name].state != "SERVING" or len(environment.exchanges) < 3:
+        return
+    down, removed, named = rng.choice((0, 200)), rng.randint(200, 1_000), rng.randint(50, 600)
+    yield from environment.restart_exchange(name, down * MS, removed * MS, named * MS)
+
+
+STRANGER_TROUBLES: dict[str, Trouble] = {
+    "strangers": strangers,
+    "leaving clients": leaving_clients,
+    "unlisted restart": unlisted_restart,
+}
--- a/peattrestle/trials/record.py
+++ b/peattrestle/trials/record.py
@@ -85,7 +85,7 @@
     """One set-up as an exchange saw it.
 
     `released_at` is when the exchange last sent a release of the call, `exchange_ended_at` when it died while
-    the call was established.
+    the call was established, or when agents counted as told if it `restarted` under its name.
     """
 
     call_id: str
@@ -96,6 +96,7 @@
     description: str = ""
     released_at: int = 0
     exchange_ended_at: int = 0
+    restarted: bool = False
 
 
 @dataclass(slots=True)
@@ -127,7 +128,8 @@
 class Record:
     """Everything that one trial has observed.
 
-    `stranger_attempts` are those of clients that are no callers, `events` the lines of its timeline.
+    `stranger_attempts` are those of clients that are no callers, `strangers_left` has when the client of a
+    Call-ID had left all its connections; `events` are the lines of its timeline.
     """
 
     requests: dict[str, Request] = field(default_factory=dict)
@@ -138,6 +140,7 @@
     abusive_unanswered: list[str] = field(default_factory=list)
     unsolicited: list[str] = field(default_factory=list)
     stranger_attempts: list[Attempt] = field(default_factory=list)
+    strangers_left: dict[str, int] = field(default_factory=dict)
     events: list[tuple[int, str]] = field(default_factory=list)
     observer_lag: int = 0  # largest scheduling delay of the stand-ins; observed times may be late by as much
 
