platform: stored releases are bounded by the memory limit, all exchanges together

Change: the bounds follow from memory_mb; all exchanges share one, the longest queue gives way; ids that are no Call-IDs are not kept.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -44,7 +44,7 @@
 from peattrestle.platform.follow import Follower
 from peattrestle.platform.link import CONNECTIONS_PER_LINK, Link, LinkConnection
 from peattrestle.platform.releases import CallerReleases
-from peattrestle.platform.request import BadSetUp, SetUpRequest, read_set_up
+from peattrestle.platform.request import BadSetUp, SetUpRequest, is_call_id, read_set_up
 from peattrestle.platform.shutdown import run_shutdown
 from peattrestle.policy.shutdown import ShutdownPlan, retry_delay
 from peattrestle.runtime import Coroutine, Kernel
@@ -58,7 +58,7 @@
 UNREACHABLE_TIMEOUT = 6000 * MS  # without a sign of life from an exchange, its calls are over
 RESERVED_SOCKETS = 16  # listener, feed, signals, connections being opened or closed, standard streams
 MAX_CALLS = 8_000  # within the memory limit, see `peattrestle.platform.memory`
-MAX_STORED_RELEASES = 8_000  # per exchange to send, and in total received early; as many as calls are held
+MAX_STORED_RELEASES = 8_000  # within the memory limit; as many as calls are held
 EARLY_RELEASE_RETENTION = 60_000 * MS  # for releases that precede the request to adopt their call
 
 
@@ -138,7 +138,9 @@
         self.group_sizes: dict[str, float] = {}
         self.memory_plan = self.plan_memory()
         self.connections = CallerConnections(kernel, self, self.counts, log)
-        self.releases = CallerReleases(kernel, self.connections.active, self.counts, log)
+        self.releases = CallerReleases(
+            kernel, self.connections.active, self.counts, log, lambda: self.memory_plan.releases
+        )
         self.undelivered_releases: dict[str, deque[tuple[str, bytes]]] = {}
         self.early_releases: OrderedDict[tuple[str, str], int] = OrderedDict()
         self.ready = False
@@ -578,10 +580,15 @@
         if link.retired:
             self.log_dropped_release(link.exchange, tag, "the exchange left the list")
             return
-        queue = self.undelivered_releases.setdefault(link.exchange, deque())
-        if len(queue) >= MAX_STORED_RELEASES:
-            self.log_dropped_release(link.exchange, queue.popleft()[0], "too many releases")
-        queue.append((tag, data))
+        if sum(map(len, self.undelivered_releases.values())) >= self.max_stored_releases():
+            longest = max(self.undelivered_releases, key=lambda name: len(self.undelivered_releases[name]))
+            dropped_tag, _ = self.undelivered_releases[longest].popleft()
+            self.log_dropped_release(longest, dropped_tag, "too many releases")
+        self.undelivered_releases.setdefault(link.exchange, deque()).append((tag, data))
+
+    def max_stored_releases(self) -> int:
+        """Returns the limit of releases kept for all exchanges, and for calls not yet known, each."""
+        return min(MAX_STORED_RELEASES, self.memory_plan.releases)
 
     def log_dropped_release(self, exchange: str, tag: str, why: str) -> None:
         """Counts and logs a release that an exchange does not get."""
@@ -738,8 +745,10 @@
         if call is not None:
             self.end_established_call(call, lines.NORMAL if line.rc == lines.NORMAL else lines.RESET)
             return
+        if not is_call_id(line.tag):
+            return
         self.early_releases[link.exchange, line.tag] = self.kernel.now()
-        if len(self.early_releases) > MAX_STORED_RELEASES:
+        if len(self.early_releases) > self.max_stored_releases():
             self.early_releases.popitem(last=False)
             self.counts.add("early_releases_dropped")
 
--- a/peattrestle/platform/memory.py
+++ b/peattrestle/platform/memory.py
@@ -18,6 +18,7 @@
 OPEN_CALL_SIZE = 2_560  # objects of one call, with the controller's, the guard's and the kernel's
 ESTABLISHED_CALL_SIZE = 1_280
 CALL_ID_SIZE = 256  # one remembered Call-ID
+RELEASE_SIZE = 768  # one release that is owed, or that came before its call was known
 UNSERVED_TRY_SIZE = 640  # what the retry detection keeps of one unserved call
 USABLE_SHARE = 0.6  # the rest is for fragmentation and for what lives only within one turn
 
@@ -38,7 +39,8 @@
     `calls` are the bytes for all calls; `adopted_calls` is the part of them for those that callers only named
     as established, so that they leave room for new calls. `buffers` are the bytes received or written on
     callers' connections that are not processed or sent yet. `call_ids` is the number of Call-IDs remembered,
-    `unserved_tries` that of calls kept by the retry detection.
+    `unserved_tries` that of calls kept by the retry detection, `releases` that of releases owed to callers,
+    of those owed to all exchanges, and of those for calls not yet known, each.
     """
 
     calls: int
@@ -46,6 +48,7 @@
     buffers: int
     call_ids: int
     unserved_tries: int
+    releases: int
 
 
 def plan_memory(limit: int, resident: int, connections: int) -> MemoryPlan:
@@ -62,4 +65,5 @@
         buffers=divisible // 4,
         call_ids=divisible // 16 // CALL_ID_SIZE,
         unserved_tries=divisible // 16 // UNSERVED_TRY_SIZE,
+        releases=divisible // 24 // RELEASE_SIZE,
     )
--- a/peattrestle/platform/releases.py
+++ b/peattrestle/platform/releases.py
@@ -16,6 +16,7 @@
 
 from bisect import bisect_left
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from peattrestle.calls.core import Counts, Log
@@ -31,7 +32,7 @@
 ROUND_INTERVAL = 75 * MS  # ten rounds reach 1,023 candidates within 0.7 s
 MIN_ROUND_GAP = 35 * MS  # of one release; rounds are common to all releases
 MAX_WRITES_PER_ROUND = 4_000  # of all releases together, since other work waits meanwhile
-MAX_STORED_RELEASES = 8_000  # undelivered and unconfirmed ones together; as many as calls are held
+MAX_STORED_RELEASES = 8_000  # undelivered and unconfirmed ones together, within the memory limit
 
 
 @dataclass(slots=True)
@@ -58,13 +59,21 @@
 class CallerReleases:
     """Sends releases; `active` are the open connections from callers.
 
-    `undelivered` are the releases that no connection known to be a caller's has got, `unconfirmed` those that
-    were delivered to one, by Call-ID and the oldest one first. Every step of a release is counted in
-    `counts`, and logged with the call's id.
+    At most `max_stored()` releases are kept. `undelivered` are those that no connection known to be a
+    caller's has got, `unconfirmed` those that were delivered to one, by Call-ID and the oldest one first.
+    Every step of a release is counted in `counts`, and logged with the call's id.
     """
 
-    def __init__(self, kernel: Kernel, active: OrderedDict[Caller, None], counts: Counts, log: Log) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        active: OrderedDict[Caller, None],
+        counts: Counts,
+        log: Log,
+        max_stored: Callable[[], int],
+    ) -> None:
         self.kernel, self.active, self.counts, self.log = kernel, active, counts, log
+        self.max_stored = max_stored
         self.undelivered: OrderedDict[str, Release] = OrderedDict()
         self.unconfirmed: OrderedDict[str, Release] = OrderedDict()
         self._candidates: dict[int, Caller] = {}  # by number, in ascending order
@@ -252,7 +261,8 @@
 
     def _make_room(self) -> None:
         """Drops the oldest release at the limit: one that was delivered, else one that waits."""
-        if len(self.undelivered) + len(self.unconfirmed) >= MAX_STORED_RELEASES:
+        limit = min(MAX_STORED_RELEASES, self.max_stored())
+        if len(self.undelivered) + len(self.unconfirmed) >= limit:
             oldest = next(iter((self.unconfirmed or self.undelivered).values()))
             self._drop(oldest, "too many releases")
 
--- a/peattrestle/platform/request.py
+++ b/peattrestle/platform/request.py
@@ -20,6 +20,11 @@
 _exchange_pattern = re.compile("[0-9A-Za-z._:-]{1,64}")
 
 
+def is_call_id(text: str) -> bool:
+    """Whether this is a Call-ID of the platform: 16 lower-case hexadecimal digits."""
+    return _call_id_pattern.fullmatch(text) is not None
+
+
 class BadSetUp(Exception):
     """An invalid set-up request; the text names the header field and what is wrong with it."""
 
@@ -60,7 +65,7 @@
     """Returns the set-up request in an INVITE. Raises BadSetUp if a field is missing or invalid."""
     fields = message.fields
     tag = message.call_id
-    if _call_id_pattern.fullmatch(tag) is None:
+    if not is_call_id(tag):
         raise BadSetUp(f"Call-ID: '{tag[:20]}' is not 16 lower-case hexadecimal digits")
     if not fields.get("cseq", "").endswith(" INVITE"):
         raise BadSetUp(f"CSeq: the method in '{fields.get('cseq', '')[:20]}' is not INVITE")
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -133,3 +133,30 @@
     harness.advance(300)
     assert caller.statuses().count(503) == most + 100
     assert 0 < harness.agent.controller.retry_detector.unserved_count <= most
+
+
+def test_releases_of_unknown_calls_are_bounded_in_number_and_size() -> None:
+    # Guards against memory that an exchange fills with releases under ever new, or very long, ids.
+    harness = Harness(limits={"sockets": 96, "memory_mb": 22})
+    exchange, agent = harness.exchanges[1], harness.agent
+    for number in range(agent.memory_plan.releases + 50):
+        exchange.send(exchange.streams[0], verb="FINISH", tag=tag(number), rc=16)
+    exchange.send(exchange.streams[0], verb="FINISH", tag="f" * 16_000, rc=16)
+    harness.advance(500)
+    assert len(agent.early_releases) == agent.memory_plan.releases
+    assert all(len(tag) == 16 for _, tag in agent.early_releases)
+
+
+def test_releases_to_all_exchanges_are_bounded_together() -> None:
+    # Guards against a bound for each exchange, which grows with their number.
+    harness = Harness(limits={"sockets": 96, "memory_mb": 22})
+    agent = harness.agent
+    for exchange in harness.exchanges.values():
+        exchange.crash()
+    harness.advance(50)
+    for number in range(agent.memory_plan.releases + 10):
+        for link in agent.links.values():
+            agent.release_at_exchange(link, tag(number), b"release\n")
+    queues = agent.undelivered_releases
+    assert sum(map(len, queues.values())) == agent.memory_plan.releases
+    assert all(abs(2 * len(queue) - agent.memory_plan.releases) <= 2 for queue in queues.values())
