platform: unread input keeps a stranger's connection for no longer than 0.5 s past its time

Change: unread input gives half a second more; at the limit, as the last resort, one goes that has been open for 3 s without a valid set-up.

--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -32,6 +32,8 @@
 READ_SIZE = 16_384  # bytes
 # Since a connection came up, or a message on it began, before it is closed at the limit.
 UNFINISHED_MESSAGE_GRACE = 250 * MS
+UNREAD_INPUT_GRACE = 500 * MS  # more for an overdue message while there is input to be read
+STRANGER_TIME = 3_000 * MS  # without a valid set-up, before unread input keeps a connection no longer
 MESSAGES_PER_TURN = 8  # of one connection, before other connections have theirs
 ACCEPTS_PER_TURN = 16
 IDLE_CHECKS = 16  # connections with the same evidence looked at for one to close
@@ -176,11 +178,14 @@
         """Closes a connection that is not in use; False if there is none.
 
         Connections that have shown least of a caller go first, of equal ones the longest silent one. If all
-        are new or within a message, one that has not sent a valid set-up goes all the same.
+        are in use, one goes all the same that has not sent a valid set-up: one that is new or within a
+        message, else one that has been open for long.
         """
         strangers = self._by_evidence[CallerEvidence.NONE]
         caller = next(filter(None, map(self.find_idle, self._by_evidence)), None)
         caller = caller or self.find_idle(strangers, with_grace=False)
+        opened_before = self.kernel.now() - STRANGER_TIME
+        caller = caller or next((caller for caller in strangers if caller.accepted_at < opened_before), None)
         if caller is None:
             return False
         self.counts.add("connections_closed")
@@ -358,7 +363,7 @@
     def close_late(self, now: int) -> None:
         """Answers connections whose first or current message is overdue with 408, and closes them."""
         for caller in [caller for caller in self.active if caller.is_late(now)]:
-            if caller.has_unread_input:
+            if caller.has_unread_input and not caller.is_late(now - UNREAD_INPUT_GRACE):
                 continue  # the rest may be there: it is this agent that is late
             self.counts.add("late_callers")
             caller.stream.write(sip.answer(408, {}))
