platform: connections that wait with whole messages share 64 of them a turn

Seen in a load of 300 clients under ever new names: slowest answers of 1.2 and 1.3 s, three callers' set-ups lost on new connections that had waited 243 to 778 ms (256 sockets), one call left to its timer (1,024 sockets).

Cause: each connection had eight messages a turn, 300 of them 2,400.

Change: those that wait share 64, each at least one.

--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -34,7 +34,8 @@
 UNFINISHED_MESSAGE_GRACE = 250 * MS
 UNREAD_INPUT_GRACE = 500 * MS  # more for an overdue message while there is input to be read
 STRANGER_TIME = 3_000 * MS  # without a valid set-up, before unread input keeps a connection no longer
-MESSAGES_PER_TURN = 8  # of one connection, before other connections have theirs
+MESSAGES_PER_TURN = 64  # of all connections together, if several wait with more than they can have
+MAX_MESSAGES_PER_TURN = 8  # of one connection; at least one
 ACCEPTS_PER_TURN = 16
 IDLE_CHECKS = 16  # connections with the same evidence looked at for one to close
 BUFFERS_KEPT = 0.75  # of the limit, when buffers are freed
@@ -127,12 +128,13 @@
     """All connections from callers, within the observer's limits.
 
     `active` are the connections in use, the longest silent one first; `lingering` are those whose sending
-    side is closed. `buffered_bytes` were received and not processed, or written and not sent.
+    side is closed. `buffered_bytes` were received and not processed, or written and not sent; `backlogs`
+    counts the connections with whole messages in their buffers.
     """
 
     def __init__(self, kernel: Kernel, observer: ConnectionObserver, counts: Counts, log: Log) -> None:
         self.kernel, self.observer, self.counts, self.log = kernel, observer, counts, log
-        self.buffered_bytes = 0
+        self.buffered_bytes = self.backlogs = 0
         self.active: OrderedDict[Caller, None] = OrderedDict()
         # The same connections by their evidence, the longest silent one first.
         self._by_evidence: tuple[OrderedDict[Caller, None], ...] = tuple(
@@ -246,7 +248,11 @@
         """Dispatches the messages in the buffer, some in each turn."""
         while self.dispatch_messages(caller):
             caller.has_backlog = True
-            yield from self.kernel.sleep(0)
+            self.backlogs += 1
+            try:
+                yield from self.kernel.sleep(0)
+            finally:
+                self.backlogs -= 1
         caller.has_backlog = False
         if not caller.reader.has_partial_message:
             caller.partial_since = 0
@@ -265,7 +271,7 @@
         Returns whether there may be more.
         """
         try:
-            for _ in range(MESSAGES_PER_TURN):
+            for _ in range(min(MAX_MESSAGES_PER_TURN, max(1, MESSAGES_PER_TURN // (self.backlogs + 1)))):
                 message = caller.reader.next() if not caller.close_reason else None
                 if message is None:
                     return False
