platform: hundreds of releases at once are spread over rounds, none is passed over

Change: who reads is asked at the start of a round; a connection gets 256 releases a round and the rest later; what was passed over is written when the connection shows to be a caller's; the reset waits for the end of the turn.

--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -229,6 +229,8 @@
                 else:
                     caller.reader.feed(data)
                     yield from self.process_input(caller)
+                if stream.unsent > MAX_UNSENT_BYTES:
+                    yield from self.kernel.sleep(0)  # what a turn has written is sent at its end
                 if stream.unsent > MAX_UNSENT_BYTES:
                     why = f"the caller left {stream.unsent} bytes unread"
                     caller.was_reset = True
--- a/peattrestle/platform/releases.py
+++ b/peattrestle/platform/releases.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import itertools
 from bisect import bisect_left
 from collections import OrderedDict
 from collections.abc import Callable
@@ -31,6 +32,7 @@
 OWN_CONNECTION_WAIT = 200 * MS  # for a confirmation on the call's own connection, before others get it
 ROUND_INTERVAL = 75 * MS  # ten rounds reach 1,023 candidates within 0.7 s
 MIN_ROUND_GAP = 35 * MS  # of one release; rounds are common to all releases
+MAX_WRITES_PER_CONNECTION = 256  # in a round; so many bytes that a peer that reads has them before the next
 MAX_WRITES_PER_ROUND = 4_000  # of all releases together, since other work waits meanwhile
 MAX_STORED_RELEASES = 8_000  # undelivered and unconfirmed ones together, within the memory limit
 
@@ -79,6 +81,9 @@
         self._candidates: dict[int, Caller] = {}  # by number, in ascending order
         self._number_of: dict[Caller, int] = {}
         self._last_number = 0
+        self._passed_over: set[int] = set()  # candidates that did not read what they were sent
+        self._numbers: list[int] = []  # candidates of the present round
+        self._written: dict[int, int] = {}  # releases written to each of them
         self._proven: OrderedDict[Caller, None] = OrderedDict()  # the last one to show it comes last
         self._round_is_scheduled = False
 
@@ -115,14 +120,14 @@
             self._last_number += 1
             self._number_of[caller] = self._last_number
             self._candidates[self._last_number] = caller
+            self._numbers.append(self._last_number)
             if self.undelivered:
                 self._schedule_round()
         if caller.evidence is CallerEvidence.PROVEN:
             self._proven[caller] = None
             self._proven.move_to_end(caller)
-            for release in list(self.undelivered.values()):
-                self._forget(release.call_id)
-                self._deliver(release, caller)
+            if self.undelivered:
+                self._deliver_undelivered(caller)
 
     def on_response(self, call_id: str, status: int, caller: Caller) -> None:
         """Handles a response to a BYE.
@@ -146,7 +151,9 @@
     def on_connection_ended(self, caller: Caller) -> None:
         """Handles a closed connection: releases that its caller may not have read are sent on another one."""
         self._proven.pop(caller, None)
-        self._candidates.pop(self._number_of.pop(caller, 0), None)
+        number = self._number_of.pop(caller, 0)
+        self._candidates.pop(number, None)
+        self._passed_over.discard(number)
         read_before = self.kernel.now() - CLOSE_CROSSING_TIME
         written = [release for release in self.unconfirmed.values() if release.caller is caller]
         for release in written:
@@ -193,7 +200,7 @@
         self._make_room()
         self.undelivered[release.call_id] = release
         if release.round_at <= self.kernel.now():
-            self._send_to_candidates(release, list(self._candidates))
+            self._send_to_candidates(release)
         if not self._has_all(release):
             self._schedule_round()
 
@@ -203,7 +210,8 @@
             self._log_dropped(release, "not confirmed in time")
             return
         number = self._number_of.get(caller, release.next_candidate)
-        if release.caller is not caller and number >= release.next_candidate:
+        is_written = number < release.next_candidate and number not in self._passed_over
+        if release.caller is not caller and not is_written:
             self._write(release, caller)
             self.log("debug", "release sent", reference=release.call_id)
         release.caller = caller
@@ -225,29 +233,53 @@
     def _send_round(self) -> None:
         """Sends each undelivered release to the next candidates, if its next round is due."""
         self._round_is_scheduled = False
-        now, numbers, writes = self.kernel.now(), list(self._candidates), 0
+        caller = self._proven_connection()
+        if caller is not None:
+            self._deliver_undelivered(caller)
+            return
+        now, writes = self.kernel.now(), 0
+        self._begin_round()
         for release in list(self.undelivered.values()):
             if now >= release.round_at and writes < MAX_WRITES_PER_ROUND:
-                writes += self._send_to_candidates(release, numbers)
+                writes += self._send_to_candidates(release)
         if not all(map(self._has_all, self.undelivered.values())):
             self._schedule_round()
 
-    def _send_to_candidates(self, release: Release, numbers: list[int]) -> int:
-        """Sends a release to its next candidates among these numbers; returns how many there were."""
-        start = bisect_left(numbers, release.next_candidate)
-        chosen = numbers[start : start + release.round_size]
-        for number in chosen:
-            caller = self._candidates[number]
-            is_read = caller.stream.unsent < MAX_UNSENT_BYTES // 2
-            if is_read and not caller.close_reason and caller is not release.caller:
+    def _begin_round(self) -> None:
+        """Lists the candidates, and notes those that do not read, since they are passed over."""
+        self._numbers = list(self._candidates)
+        self._written.clear()
+        for number, caller in self._candidates.items():
+            if caller.stream.unsent >= MAX_UNSENT_BYTES // 2:
+                self._passed_over.add(number)
+
+    def _deliver_undelivered(self, caller: Caller) -> None:
+        """Delivers the waiting releases to a connection known to be a caller's, some at once, some later."""
+        for release in list(itertools.islice(self.undelivered.values(), MAX_WRITES_PER_CONNECTION)):
+            self._forget(release.call_id)
+            self._deliver(release, caller)
+        if self.undelivered:
+            self._schedule_round()
+
+    def _send_to_candidates(self, release: Release) -> int:
+        """Sends a release to its next candidates of this round; returns how many there were."""
+        start = bisect_left(self._numbers, release.next_candidate)
+        sent = 0
+        for number in self._numbers[start : start + release.round_size]:
+            if self._written.get(number, 0) >= MAX_WRITES_PER_CONNECTION:
+                break  # it has the rest in later rounds
+            caller = self._candidates.get(number)
+            if caller is not None and caller is not release.caller and number not in self._passed_over:
                 self._write(release, caller)
-        if chosen:
-            release.next_candidate = chosen[-1] + 1
+            self._written[number] = self._written.get(number, 0) + 1
+            release.next_candidate = number + 1
+            sent += 1
+        if sent:
             release.round_size *= 2
             release.round_at = self.kernel.now() + MIN_ROUND_GAP
-            fields = {"reference": release.call_id, "connections": len(chosen)}
+            fields = {"reference": release.call_id, "connections": sent}
             self.log("debug", "release sent to candidates", **fields)
-        return len(chosen)
+        return sent
 
     def _has_all(self, release: Release) -> bool:
         """Whether all present candidates have got the release."""
