--- a/tests/platform/test_releases.py
+++ b/tests/platform/test_releases.py
@@ -7,7 +7,7 @@
 from peattrestle.platform import agent, releases
 from peattrestle.platform.call_ids import RecentCallIds
 from peattrestle.sip import text as sip
-from tests.platform.test_agent import TAG, Caller, Harness, invite, request
+from tests.platform.test_agent import TAG, Caller, Harness, SocketHarness, invite, request
 
 OTHER, THIRD = "00000000000000c2", "00000000000000c3"
 
@@ -234,15 +234,19 @@
 @pytest.mark.parametrize("is_established", [False, True], ids=["refused", "established"])
 def test_hundreds_of_releases_that_wait_reach_the_first_connection(is_established: bool) -> None:
     # Guards against releases passed over since those before them filled a buffer. Found by drawn trial 45.
-    harness = Harness(limits={"sockets": 256, "memory_mb": 192})
+    harness = SocketHarness()  # real sockets: what a turn writes is sent at its end
+    harness.until(lambda: all(link.is_up for link in harness.agent.links.values()))
     tags = [f"{number:016x}" for number in range(700)]
     for tag in tags:
-        release = sip.bye(tag, "7f3a", "n0", 16)
-        harness.agent.releases.send(tag, release, None)
+        harness.agent.releases.send(tag, sip.bye(tag, "7f3a", "n0", 16), None)
     caller = harness.caller(invite()) if is_established else refused_caller(harness)
-    harness.advance(700)
-    released = {message.call_id for message in caller.messages if message.method == "BYE"}
-    assert released == set(tags) and not caller.closed_at
+
+    def released() -> set[str]:
+        return {message.call_id for message in caller.messages if message.method == "BYE"}
+
+    harness.until(lambda: released() == set(tags))
+    assert not caller.closed_at
+    harness.kernel.close()
 
 
 def test_a_release_goes_to_no_stranger_while_a_connection_is_known_to_be_a_callers() -> None:
