platform: releases go to no caller known to have left, and to one that reads on

Change: sockets are asked before a connection is chosen for a release; a stalled candidate gets a new number, and with it all that waits, once it reads on.

--- a/peattrestle/platform/releases.py
+++ b/peattrestle/platform/releases.py
@@ -32,6 +32,7 @@
 OWN_CONNECTION_WAIT = 200 * MS  # for a confirmation on the call's own connection, before others get it
 ROUND_INTERVAL = 75 * MS  # ten rounds reach 1,023 candidates within 0.7 s
 MIN_ROUND_GAP = 35 * MS  # of one release; rounds are common to all releases
+MAX_UNREAD_BYTES = MAX_UNSENT_BYTES // 2  # left by a connection that gets releases as a candidate
 MAX_WRITES_PER_CONNECTION = 256  # in a round; so many bytes that a peer that reads has them before the next
 MAX_WRITES_PER_ROUND = 4_000  # of all releases together, since other work waits meanwhile
 MAX_STORED_RELEASES = 8_000  # undelivered and unconfirmed ones together, within the memory limit
@@ -81,7 +82,7 @@
         self._candidates: dict[int, Caller] = {}  # by number, in ascending order
         self._number_of: dict[Caller, int] = {}
         self._last_number = 0
-        self._passed_over: set[int] = set()  # candidates that did not read what they were sent
+        self._stalled: dict[Caller, None] = {}  # no candidates while they leave much unread
         self._numbers: list[int] = []  # candidates of the present round
         self._written: dict[int, int] = {}  # releases written to each of them
         self._proven: OrderedDict[Caller, None] = OrderedDict()  # the last one to show it comes last
@@ -91,6 +92,8 @@
         """Sends a BYE. `own_connection`: the connection of the call's set-up, if it may still be open."""
         release = Release(call_id, data, self.kernel.now())
         own = own_connection if own_connection in self.active else None
+        if own is not None and own.stream.peer_has_closed():
+            own = None
         if own is not None and not own.close_reason and own.evidence is not CallerEvidence.PROVEN:
             self._write(release, own)
             self.log("debug", "release sent", reference=call_id)
@@ -107,22 +110,17 @@
         release = self.undelivered.get(call_id) or self.unconfirmed.get(call_id)
         if release is None:
             return False
-        if release.caller is not caller:
+        if release.caller is not caller and not caller.stream.peer_has_closed():
             self._forget(call_id)
             self._deliver(release, caller)
         return True
 
     def on_caller_seen(self, caller: Caller) -> None:
         """Handles a valid set-up, or further evidence, on a connection: waiting releases are sent on it."""
-        if caller not in self.active or caller.close_reason:
+        if caller not in self.active or caller.close_reason or caller.stream.peer_has_closed():
             return
-        if caller not in self._number_of:
-            self._last_number += 1
-            self._number_of[caller] = self._last_number
-            self._candidates[self._last_number] = caller
-            self._numbers.append(self._last_number)
-            if self.undelivered:
-                self._schedule_round()
+        if caller not in self._number_of and caller not in self._stalled:
+            self._add_candidate(caller)
         if caller.evidence is CallerEvidence.PROVEN:
             self._proven[caller] = None
             self._proven.move_to_end(caller)
@@ -151,9 +149,8 @@
     def on_connection_ended(self, caller: Caller) -> None:
         """Handles a closed connection: releases that its caller may not have read are sent on another one."""
         self._proven.pop(caller, None)
-        number = self._number_of.pop(caller, 0)
-        self._candidates.pop(number, None)
-        self._passed_over.discard(number)
+        self._stalled.pop(caller, None)
+        self._candidates.pop(self._number_of.pop(caller, 0), None)
         read_before = self.kernel.now() - CLOSE_CROSSING_TIME
         written = [release for release in self.unconfirmed.values() if release.caller is caller]
         for release in written:
@@ -184,7 +181,10 @@
 
     def _proven_connection(self) -> Caller | None:
         """Returns the open connection that was last shown to be a caller's, None without one."""
-        return next((caller for caller in reversed(self._proven) if not caller.close_reason), None)
+        for caller in reversed(self._proven):
+            if not caller.close_reason and not caller.stream.peer_has_closed():
+                return caller
+        return None
 
     def _deliver_or_store(self, release: Release, caller: Caller | None) -> None:
         """Delivers the release to a caller's connection, or keeps it and sends it to the candidates."""
@@ -210,8 +210,7 @@
             self._log_dropped(release, "not confirmed in time")
             return
         number = self._number_of.get(caller, release.next_candidate)
-        is_written = number < release.next_candidate and number not in self._passed_over
-        if release.caller is not caller and not is_written:
+        if release.caller is not caller and number >= release.next_candidate:
             self._write(release, caller)
             self.log("debug", "release sent", reference=release.call_id)
         release.caller = caller
@@ -239,19 +238,34 @@
             return
         now, writes = self.kernel.now(), 0
         self._begin_round()
+        if not self.undelivered:
+            return
         for release in list(self.undelivered.values()):
             if now >= release.round_at and writes < MAX_WRITES_PER_ROUND:
                 writes += self._send_to_candidates(release)
-        if not all(map(self._has_all, self.undelivered.values())):
+        if self._stalled or not all(map(self._has_all, self.undelivered.values())):
             self._schedule_round()
 
     def _begin_round(self) -> None:
-        """Lists the candidates, and notes those that do not read, since they are passed over."""
-        self._numbers = list(self._candidates)
+        """Lists the candidates: without those that leave much unread, and with those that read on."""
         self._written.clear()
-        for number, caller in self._candidates.items():
-            if caller.stream.unsent >= MAX_UNSENT_BYTES // 2:
-                self._passed_over.add(number)
+        for number, caller in list(self._candidates.items()):
+            if caller.stream.unsent >= MAX_UNREAD_BYTES:
+                del self._candidates[number], self._number_of[caller]
+                self._stalled[caller] = None
+        for caller in [caller for caller in self._stalled if caller.stream.unsent < MAX_UNREAD_BYTES]:
+            del self._stalled[caller]
+            self._add_candidate(caller)
+        self._numbers = list(self._candidates)
+
+    def _add_candidate(self, caller: Caller) -> None:
+        """Gives a connection the next number, so that it gets every undelivered release."""
+        self._last_number += 1
+        self._number_of[caller] = self._last_number
+        self._candidates[self._last_number] = caller
+        self._numbers.append(self._last_number)
+        if self.undelivered:
+            self._schedule_round()
 
     def _deliver_undelivered(self, caller: Caller) -> None:
         """Delivers the waiting releases to a connection known to be a caller's, some at once, some later."""
@@ -269,7 +283,7 @@
             if self._written.get(number, 0) >= MAX_WRITES_PER_CONNECTION:
                 break  # it has the rest in later rounds
             caller = self._candidates.get(number)
-            if caller is not None and caller is not release.caller and number not in self._passed_over:
+            if caller is not None and caller is not release.caller and not caller.stream.peer_has_closed():
                 self._write(release, caller)
             self._written[number] = self._written.get(number, 0) + 1
             release.next_candidate = number + 1
--- a/tests/platform/test_releases.py
+++ b/tests/platform/test_releases.py
@@ -249,6 +249,36 @@
     harness.kernel.close()
 
 
+def test_a_release_goes_to_no_connection_whose_caller_is_known_to_have_left() -> None:
+    # Guards against releases written behind an end that the agent had not read yet, and taken for read.
+    harness = Harness()
+    first = harness.caller(invite(), invite(OTHER))
+    (departed,) = harness.agent.connections.active
+    departed.stream.peer_has_closed = lambda: True  # type: ignore[method-assign]
+    release_at_exchange(harness)
+    harness.advance(100)
+    first.send(invite(THIRD), invite(OTHER, legs="dest:1;width:1;via:-1;at:s1"))
+    harness.advance(500)
+    assert first.release_reasons() == []
+    assert refused_caller(harness, "00000000000000c4").release_reasons() == ["Q.850;cause=16"]
+
+
+def test_a_candidate_that_reads_on_gets_the_releases_it_had_stalled_for() -> None:
+    # Guards against one slow moment that left a caller out for as long as its connection lasted.
+    harness = Harness()
+    slow = refused_caller(harness)
+    (connection,) = harness.agent.connections.active
+    refused_caller(harness, THIRD)
+    connection.stream.unsent = 100_000
+    for number in range(300):
+        harness.agent.releases.send(f"{number:016x}", sip.bye(f"{number:016x}", "7f3a", "n0", 16), None)
+    harness.advance(300)
+    assert len(slow.release_reasons()) < 300
+    connection.stream.unsent -= 100_000
+    harness.advance(1_000)
+    assert len({message.call_id for message in slow.messages if message.method == "BYE"}) == 300
+
+
 def test_a_release_goes_to_no_stranger_while_a_connection_is_known_to_be_a_callers() -> None:
     harness = Harness()
     harness.caller(invite()).stream.close()
