--- a/peattrestle/platform/adopted.py
+++ b/peattrestle/platform/adopted.py
@@ -1,4 +1,4 @@
-"""Calls that callers named as established, kept within a number of bytes that connections share fairly.
+"""Calls that callers named as established, kept within a number that connections share fairly.
 
 Nothing shows whether an exchange knows such a call, and only its release ends it. Where the bound is reached,
 the connection that named most calls loses one, so that a peer that names calls without end displaces its own
@@ -15,28 +15,25 @@
 
 
 class AdoptedCalls:
-    """The adopted calls by the connection on which each was named, and the bytes they hold together."""
+    """The adopted calls by the connection on which each was named."""
 
     def __init__(self) -> None:
-        self.held_bytes = 0
         self._by_connection: dict[Caller, dict[int, SipCall]] = {}
         self._connection_of: dict[int, Caller] = {}
 
-    def __contains__(self, call: SipCall) -> bool:
-        return call.id in self._connection_of
+    def __len__(self) -> int:
+        return len(self._connection_of)
 
     def add(self, call: SipCall, connection: Caller) -> None:
         """Adds a call that was named on `connection`."""
         self._by_connection.setdefault(connection, {})[call.id] = call
         self._connection_of[call.id] = connection
-        self.held_bytes += call.held_bytes
 
     def discard(self, call: SipCall) -> None:
         """Removes a call that is over; does nothing if it was not adopted."""
         connection = self._connection_of.pop(call.id, None)
         if connection is None:
             return
-        self.held_bytes -= call.held_bytes
         named_there = self._by_connection[connection]
         del named_there[call.id]
         if not named_there:
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -519,9 +519,8 @@
 
     def make_room_for_adoption(self, caller: Caller) -> bool:
         """Returns whether a call named on this connection can be adopted; another one may give way."""
-        size = memory.ESTABLISHED_CALL_SIZE
-        limit = min(self.memory_plan.adopted_calls, MAX_CALLS // 2 * size)
-        if self.adopted_calls.held_bytes + size <= limit and self.fits(size):
+        limit = min(self.memory_plan.adopted_calls, MAX_CALLS // 2)
+        if len(self.adopted_calls) < limit and self.fits(memory.ESTABLISHED_CALL_SIZE):
             return True
         displaced = self.adopted_calls.call_to_displace(caller)
         if displaced is None:
@@ -612,7 +611,8 @@
         if final.kind == ANSWERED:
             self.on_caller_seen(caller, CallerEvidence.PROVEN)
         self.connections.close_if_done(caller)
-        self.keep_only_release(call)
+        if final.kind == ANSWERED:
+            self.keep_only_release(call)
 
     def keep_only_release(self, call: SipCall) -> None:
         """Drops what an answered call needed for its set-up and its answer."""
--- a/peattrestle/platform/memory.py
+++ b/peattrestle/platform/memory.py
@@ -36,11 +36,11 @@
 class MemoryPlan:
     """The bounds that follow from a memory limit.
 
-    `calls` are the bytes for all calls; `adopted_calls` is the part of them for those that callers only named
-    as established, so that they leave room for new calls. `buffers` are the bytes received or written on
-    callers' connections that are not processed or sent yet. `call_ids` is the number of Call-IDs remembered,
-    `unserved_tries` that of calls kept by the retry detection, `releases` that of releases owed to callers,
-    of those owed to all exchanges, and of those for calls not yet known, each.
+    `calls` are the bytes for all calls; `adopted_calls` is the number of those that callers only named as
+    established, half of that room, so that they leave the other half to new calls. `buffers` are the bytes
+    received or written on callers' connections that are not processed or sent yet. `call_ids` is the number
+    of Call-IDs remembered, `unserved_tries` that of calls kept by the retry detection, `releases` that of
+    releases owed to callers, of those owed to all exchanges, and of those for calls not yet known, each.
     """
 
     calls: int
@@ -61,7 +61,7 @@
     calls = divisible // 2
     return MemoryPlan(
         calls=calls,
-        adopted_calls=calls // 2,
+        adopted_calls=calls // 2 // ESTABLISHED_CALL_SIZE,
         buffers=divisible // 4,
         call_ids=divisible // 16 // CALL_ID_SIZE,
         unserved_tries=divisible // 16 // UNSERVED_TRY_SIZE,
--- a/peattrestle/trials/bad_clients.py
+++ b/peattrestle/trials/bad_clients.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import argparse
-import contextlib
 import enum
 import selectors
 import socket
@@ -16,7 +15,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from peattrestle.trials.deployment import BEARER_TYPE
+from peattrestle.trials.caller import bodyless_request, invite_message
 from peattrestle.trials.record import STRANGER_PREFIX
 
 MAX_QUEUED_BYTES = 65_536  # of one client, before it waits for the agent to read
@@ -25,9 +24,10 @@
 PIECE_SIZE = 600  # bytes
 RECONNECT_DELAY = 0.05  # seconds
 # One character beyond Latin-1, of two bytes each where text is kept as Python text.
-LARGE_DESCRIPTION = ("v=0\r\ns=\u260e\r\n" + "a=rtpmap:96 opus/48000\r\n" * 640).encode()
+LARGE_DESCRIPTION = "v=0\r\ns=\u260e\r\n" + "a=rtpmap:96 opus/48000\r\n" * 640
 LARGE_SET_UP_DESCRIPTION = LARGE_DESCRIPTION[:13_000]  # within 16 KiB as a line to an exchange
-SMALL_DESCRIPTION = b"v=0\r\n"
+SMALL_DESCRIPTION = "v=0\r\n"
+TIMEOUT_MS = 1_000  # of set-ups
 
 
 class Load(enum.Enum):
@@ -56,20 +56,6 @@
     connections: int = 0
 
 
-def invite(call_id: str, legs: str, description: bytes, number: str = "7f3a") -> bytes:
-    """Returns a valid INVITE."""
-    return (
-        f"INVITE sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call_id}\r\n"
-        f"CSeq: 1 INVITE\r\nX-Cos: {BEARER_TYPE}\r\nX-Timer-Ms: 1000\r\nX-Legs: {legs}\r\n"
-        f"Content-Length: {len(description)}\r\n\r\n"
-    ).encode() + description
-
-
-def bodyless(method: str, call_id: str) -> bytes:
-    """Returns a short request without a body."""
-    return (f"{method} sip:a@net SIP/2.0\r\ni: {call_id}\r\nCSeq: 1 {method}\r\nl: 0\r\n\r\n").encode()
-
-
 class Requests:
     """Endless requests of one client; ids and called numbers are new each time."""
 
@@ -81,27 +67,30 @@
         self.count += 1
         return f"{STRANGER_PREFIX}{self.client:05x}{self.count:08x}"
 
+    def name_call(self, call_id: str, description: str) -> bytes:
+        """Returns a request that names a call as established."""
+        return invite_message(call_id, "7f3a", TIMEOUT_MS, 1, description, self.exchange)
+
     def stream(self, load: Load) -> Iterator[bytes]:
         """Yields what the client sends, piece by piece."""
-        established = f"dest:1;width:1;via:-1;at:{self.exchange}"
         while True:
             call_id = self.next_id()
             match load:
                 case Load.NAMED_CALLS:
-                    yield invite(call_id, established, LARGE_DESCRIPTION)
+                    yield self.name_call(call_id, LARGE_DESCRIPTION)
                 case Load.NAMED_AND_RELEASED:
-                    yield invite(call_id, established, SMALL_DESCRIPTION) + bodyless("BYE", call_id)
+                    yield self.name_call(call_id, SMALL_DESCRIPTION) + bodyless_request("BYE", call_id)
                 case Load.LARGE_SET_UPS:
-                    yield invite(call_id, "dest:1;width:1;via:-1", LARGE_SET_UP_DESCRIPTION)
+                    yield invite_message(call_id, "7f3a", TIMEOUT_MS, 1, LARGE_SET_UP_DESCRIPTION)
                 case Load.NEW_NAMES:
-                    yield invite(call_id, "dest:1;width:1;via:-1", SMALL_DESCRIPTION, number=call_id)
+                    yield invite_message(call_id, call_id, TIMEOUT_MS, 1, SMALL_DESCRIPTION)
                 case Load.TAKEN_BACK:
-                    yield invite(call_id, "dest:1;width:1;via:-1", SMALL_DESCRIPTION)
-                    yield bodyless("CANCEL", call_id)
+                    yield invite_message(call_id, "7f3a", TIMEOUT_MS, 1, SMALL_DESCRIPTION)
+                    yield bodyless_request("CANCEL", call_id)
                 case Load.SMALL_REQUESTS | Load.UNREAD_ANSWERS:
-                    yield bodyless("OPTIONS", call_id)
+                    yield bodyless_request("OPTIONS", call_id)
                 case Load.UNSOUND_REQUESTS:
-                    yield invite(call_id, "dest:x", SMALL_DESCRIPTION)
+                    yield invite_message(call_id, "7f3a", -1, 1, SMALL_DESCRIPTION)
                 case Load.EMPTY_LINES:
                     yield b"\r\n" * 512
                 case Load.MANY_FIELDS:
@@ -109,8 +98,8 @@
                     yield b""
                 case Load.SLOW_WRITERS | Load.HALF_REQUESTS:
                     # A whole message first, so that the next one may take longer.
-                    yield bodyless("OPTIONS", call_id)
-                    yield invite(call_id, established, LARGE_DESCRIPTION)[:-200]
+                    yield bodyless_request("OPTIONS", call_id)
+                    yield self.name_call(call_id, LARGE_DESCRIPTION)[:-200]
                     yield b""
 
 
@@ -191,15 +180,16 @@
 
 def serve(selector: selectors.BaseSelector, client: Client, mask: int) -> None:
     """Handles the events of one client's connection."""
-    is_open = False
-    with contextlib.suppress(BlockingIOError, ConnectionError):
-        is_open = True
+    is_open = True
+    try:
         if mask & selectors.EVENT_READ:
             is_open = client.read()
         if is_open and mask & selectors.EVENT_WRITE and client.wants_to_write:
-            is_open = False
             client.write()
-            is_open = True
+    except BlockingIOError:
+        pass
+    except ConnectionError:
+        is_open = False
     assert client.sock is not None
     if not is_open:
         selector.unregister(client.sock)
--- a/peattrestle/trials/caller.py
+++ b/peattrestle/trials/caller.py
@@ -24,24 +24,25 @@
 STRANGER_PAUSE = 50 * MS  # before it asks again
 
 
-def invite_message(call_id: str, number: str, timeout_ms: int, destination: int, description: str) -> bytes:
-    """Returns an INVITE; `timeout_ms` is how long the caller waits, in milliseconds."""
+def invite_message(
+    call_id: str, number: str, timeout_ms: int, destination: int, description: str, established_at: str = ""
+) -> bytes:
+    """Returns an INVITE; `timeout_ms` is how long the caller waits, in milliseconds.
+
+    With `established_at`, the exchange where the call stands already, it wants no answer.
+    """
     body = description.encode()
+    established = f";at:{established_at}" if established_at else ""
     return (
         f"INVITE sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call_id}\r\n"
         f"CSeq: 1 INVITE\r\nX-Cos: {BEARER_TYPE}\r\nX-Timer-Ms: {timeout_ms}\r\n"
-        f"X-Legs: dest:{destination};width:1;via:-1\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"X-Legs: dest:{destination};width:1;via:-1{established}\r\nContent-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
 
 def announcement(call_id: str, number: str, exchange: str) -> bytes:
-    """Returns an INVITE for a call that stands at `exchange` already; it wants no answer."""
-    body = f"{call_id}\r\nc=IN IP4 10.4.7.9\r\n".encode()
-    return (
-        f"INVITE sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call_id}\r\n"
-        f"CSeq: 1 INVITE\r\nX-Cos: {BEARER_TYPE}\r\nX-Timer-Ms: 1000\r\n"
-        f"X-Legs: dest:0;width:1;via:-1;at:{exchange}\r\nContent-Length: {len(body)}\r\n\r\n"
-    ).encode() + body
+    """Returns an INVITE for a call that stands at `exchange` already."""
+    return invite_message(call_id, number, 1_000, 0, f"{call_id}\r\nc=IN IP4 10.4.7.9\r\n", exchange)
 
 
 def bodyless_request(method: str, call_id: str, number: str = "7f3a") -> bytes:
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -17,6 +17,7 @@
     config = read(config_text(seed="00ff"))
     assert (config.name, config.listen, config.feed) == ("n0", "127.0.0.1:3868", "127.0.2.1:9092")
     assert (config.seed, config.sockets, set(config.bearer_types)) == (255, 96, {"line"})
+    assert config.memory_mb == 192 and read(config_text(limits={"memory_mb": 32})).memory_mb == 32
     assert config.settings["gos_target:line"] == 380 * MS and config.settings["release_time"] == 150 * MS
 
 
@@ -38,6 +39,9 @@
         ({"feed": "127.0.0.1:99999"}, "feed"),
         ({"limits": {"sockets": "many"}}, "limits.sockets"),
         ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"limits": {"memory_mb": "much"}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": 0}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": True}}, "limits.memory_mb"),
         ({"known": []}, "known"),
         ({"known": {"n": 1, "events": [{"n": "x"}]}}, "known"),
         ({"settings": None}, "settings"),
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -10,6 +10,7 @@
 
 from peattrestle.platform import config as configuration
 from peattrestle.platform.memory import MIB, plan_memory
+from peattrestle.trials.overload import resident_mb
 from tests.platform.test_agent import Harness, config_text, invite, request
 from tests.platform.test_process import TIMEOUT, read_until, start_process
 
@@ -26,14 +27,6 @@
     return f"{number:016x}"
 
 
-def resident_mb(process_id: int) -> float:
-    """Returns the resident memory of a process in MiB."""
-    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    raise AssertionError("no VmRSS")
-
-
 def test_an_established_call_holds_neither_its_description_nor_its_header() -> None:
     # Guards against a process killed for memory: 8,000 calls may stand, each set up with 16 KiB.
     harness = Harness()
@@ -67,7 +60,7 @@
     # Guards against a bound that the first to come fill up for all others.
     harness = Harness(limits={"sockets": 96, "memory_mb": 22})
     agent = harness.agent
-    most = agent.memory_plan.adopted_calls // 1_280
+    most = agent.memory_plan.adopted_calls
     peer = harness.caller()
     for number in range(most + 50):
         peer.send(invite(tag(number), ESTABLISHED))
@@ -82,7 +75,7 @@
     assert agent.calls_by_tag[tag(20_000)].state == "stands"  # room is left for new calls
     for call in list(agent.calls.values()):
         agent.release_call(call)
-    assert (agent.held_bytes, agent.adopted_calls.held_bytes) == (0, 0)
+    assert (agent.held_bytes, len(agent.adopted_calls)) == (0, 0)
     harness.assert_idle()
 
 
