platform: calls named after their exchange restarted are released

Cause: the time at which a call is named was taken for the time at which it was set up. It is only the latest one. And the news of a restart was used once, on the calls held at that moment, so a call named later was never judged. Evidence: of the orders in tests/platform/test_named_calls.py, those where the naming follows the restart failed whether the list told before or after the naming; the same call named before the restart was released.

Change: ExchangeRestarts (restarts.py, no I/O) keeps for each exchange before which time its calls are lost, and for a named call the latest time of its set-up: the agent's own start if it is named within 8 s of that, else its naming. A call is judged when it is named and when a start is told, by the same comparison. A start before the agent's own ends the calls of the earlier run if that run was not told of it. As a named call may stand at the new process after all, it is released there too.

--- a/peattrestle/platform/adopted.py
+++ b/peattrestle/platform/adopted.py
@@ -24,6 +24,9 @@
     def __len__(self) -> int:
         return len(self._connection_of)
 
+    def __contains__(self, call: SipCall) -> bool:
+        return call.id in self._connection_of
+
     def add(self, call: SipCall, connection: Caller) -> None:
         """Adds a call that was named on `connection`."""
         self._by_connection.setdefault(connection, {})[call.id] = call
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -45,6 +45,7 @@
 from peattrestle.platform.link import CONNECTIONS_PER_LINK, Link, LinkConnection
 from peattrestle.platform.releases import CallerReleases
 from peattrestle.platform.request import BadSetUp, SetUpRequest, is_call_id, read_set_up
+from peattrestle.platform.restarts import ExchangeRestarts
 from peattrestle.platform.shutdown import run_shutdown
 from peattrestle.policy.shutdown import ShutdownPlan, retry_delay
 from peattrestle.runtime import Coroutine, Kernel
@@ -64,9 +65,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class LinkTry(RouteTry):
-    """A route try on a link; `connection` is None while its set-up waits for one."""
+    """A route try on a link; `connection` is None while its set-up waits for one.
+
+    `latest_set_up` is the latest time at which the call was set up, as far as is known.
+    """
 
     link: Link
+    latest_set_up: int
     connection: LinkConnection | None = None
 
 
@@ -121,6 +126,7 @@
         self.config, self.on_stopped, self.resident = config, on_stopped, resident
         self.held_bytes = 0
         self.adopted_calls = AdoptedCalls()
+        self.restarts = ExchangeRestarts(kernel.now())
         self.recent_call_ids = RecentCallIds()
         self.tracing = True
         self.own_number: int = settings["own_number"]
@@ -157,6 +163,7 @@
         self.connections.listen(self.config.listen)
         for change in self.feed_state.apply_known(self.config.known):
             self.apply_change(change)
+        self.restarts.on_known_starts_applied()
         self.follower = Follower(self.kernel, self.feed_state, self.config.feed, self.apply_change, self.log)
         self.kernel.spawn(self.wait_for_exchanges(), "readiness")
         self.kernel.spawn(supervised(self.kernel, self.sweep, "sweep"), "sweep")
@@ -280,7 +287,8 @@
             self.members[member.exchange] = member
             if member.number != self.own_number and (previous is None or previous.address != member.address):
                 self.update_link(member)
-            self.check_restart(member, started_at)
+            if member.exchange in self.links:
+                self.check_restart(member, started_at)
         self.post(api.ListUpdated("full" if change.is_full else "delta", tuple(entries)))
 
     def update_link(self, member: Member) -> None:
@@ -335,27 +343,22 @@
         """Closes a link and drops what is kept for its exchange."""
         link.close()
         del self.links[link.exchange]
+        self.restarts.forget(link.exchange)
         for tag, _ in self.undelivered_releases.pop(link.exchange, ()):
             self.log_dropped_release(link.exchange, tag, "the exchange left the list")
         if link.exchange not in self.members:
             self.guard.exchanges.pop(link.exchange, None)
 
     def check_restart(self, member: Member, started_at: int) -> None:
-        """Ends the calls of an exchange if the list tells a later start of it than before.
-
-        The start told before is kept with the link, and so as long as there are calls: the exchange may have
-        left the list in between.
-        """
-        link = self.links.get(member.exchange)
-        if link is not None and member.born_ms > link.born_ms:
-            link.born_ms = member.born_ms
-            self.on_exchange_restarted(member.exchange, started_at)
-
-    def on_exchange_restarted(self, exchange: str, started_at: int) -> None:
-        """Ends the calls established before the exchange's restart, which has lost them."""
-        for call in list(self.established_calls.get(exchange, {}).values()):
-            if call.answered_try is not None and call.answered_try.sent_at < started_at:
-                self.end_established_call(call, lines.RESET)
+        """Ends the calls that an exchange has lost, if the list tells a later start of it than before."""
+        now = self.kernel.now()
+        if not self.restarts.on_start_told(member.exchange, member.born_ms, started_at, now):
+            return
+        for call in list(self.established_calls.get(member.exchange, {}).values()):
+            route_try = call.answered_try
+            if route_try is not None and self.restarts.is_lost(member.exchange, route_try.latest_set_up):
+                # A named call may be at the new process after all, and must not stand there alone.
+                self.end_established_call(call, lines.RESET, release_there=call in self.adopted_calls)
 
     def end_calls_at(self, exchange: str) -> None:
         """Ends all established calls of an exchange that is lost."""
@@ -510,7 +513,16 @@
         if link is None or self.early_releases.pop((request.established_exchange, request.tag), 0):
             self.send_release(call, lines.RESET if link is None else lines.NORMAL)
             return
-        call.answered_try = LinkTry(call, 0, request.established_exchange, now, "stands", link=link)
+        latest_set_up = self.restarts.latest_set_up(now)
+        if self.restarts.is_lost(request.established_exchange, latest_set_up):
+            self.counts.add("cut")
+            self.log("debug", "call over", reference=request.tag, cause=lines.RESET)
+            self.send_release(call, lines.RESET)
+            self.release_at_exchange(link, request.tag, lines.encode_release(request.tag, lines.NORMAL))
+            return
+        call.answered_try = LinkTry(
+            call, 0, request.established_exchange, now, "stands", link=link, latest_set_up=latest_set_up
+        )
         self.calls[call.id] = self.calls_by_tag[request.tag] = call
         self.established_calls.setdefault(request.established_exchange, {})[request.tag] = call
         call.held_bytes = memory.ESTABLISHED_CALL_SIZE
@@ -532,12 +544,15 @@
         self.forget(displaced)
         return True
 
-    def end_established_call(self, call: SipCall, cause: int) -> None:
-        """Ends an established call that is over at its exchange, and sends its caller a release."""
+    def end_established_call(self, call: SipCall, cause: int, release_there: bool = False) -> None:
+        """Ends an established call that is over at its exchange, and sends its caller a release.
+
+        `release_there`: the exchange is sent one as well, since the call may stand there after all.
+        """
         self.counts.add("ended" if cause == lines.NORMAL else "cut")
         self.log("debug", "call over", reference=call.request.tag, cause=cause)
         if call.answered_try is not None:
-            self.end_try(call.answered_try, send_release=False)
+            self.end_try(call.answered_try, send_release=release_there)
         self.send_release(call, cause)
         self.forget(call)
 
@@ -553,7 +568,8 @@
         if link is None or not link.is_up and not link.may_connect:
             return Unsent()
         request = call.request
-        route_try = LinkTry(call, number, action.exchange, self.kernel.now(), link=link)
+        now = self.kernel.now()
+        route_try = LinkTry(call, number, action.exchange, now, link=link, latest_set_up=now)
         timeout_ms = max(1, action.patience // MS)
         description = request.description.decode()
         data = lines.encode_set_up(request.tag, request.bearer_type, request.number, timeout_ms, description)
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -212,7 +212,7 @@
     for a connection. `unconfirmed` are the releases that the exchange has not confirmed, including those of
     set-ups that were given up. New connections go to `address`. `connect_failed`: a connection attempt has
     failed since a line was last received. `retired`: the exchange left the list and is not connected to
-    again. `born_ms` is the exchange's start in Unix milliseconds, as last told by the list, 0 if never.
+    again.
     """
 
     def __init__(
@@ -221,7 +221,6 @@
         self.kernel, self.observer, self.exchange, self.address = kernel, observer, exchange, address
         self.dial_timeout = dial_timeout
         self.connect_failed = self.closing = self.retired = False
-        self.born_ms = 0
         self.tries: dict[str, LinkTry] = {}
         self.waiting: dict[str, bytes] = {}
         self.unconfirmed: dict[str, UnconfirmedRelease] = {}
