platform: a call whose set-up waited for the restarted exchange is not cut

What callers would see: a call that a new process of an exchange has just set up is released, cause 41, when the list tells of that process's start, and stands on at the exchange.

Cause: a set-up that finds no connection waits for one, and counted as sent when it began to wait. If the process restarted while it waited, it reached the new process, but its time was before the start.

Change: the time at which the line is written to a connection counts. Not seen over real processes.

--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -304,6 +304,7 @@
             connections, key=lambda connection: (connection.pending_count, -connection.last_received_at)
         )
         route_try.connection.pending_count += 1
+        route_try.latest_set_up = self.kernel.now()
         route_try.connection.write(data)
 
     def remove_try(self, route_try: LinkTry, tag: str, data: bytes) -> None:
--- a/tests/platform/test_replacement.py
+++ b/tests/platform/test_replacement.py
@@ -60,6 +60,28 @@
     assert caller.release_reasons() == [] and NEW_CALL in harness.agent.calls_by_tag
 
 
+def test_a_call_whose_set_up_waited_for_the_new_process_survives_the_news_of_its_start() -> None:
+    # Guards against a set-up that counts as sent when it began to wait for a connection.
+    harness = Harness()
+    exchange, link = harness.exchanges[1], harness.agent.links["s1"]
+    exchange.silent = True
+    for stream in list(exchange.streams):
+        stream.abort()
+    while link.is_up:
+        harness.advance(0.1)
+    caller = harness.caller(invite(NEW_CALL))
+    assert list(link.waiting) == [NEW_CALL]
+    started_ms = int(harness.kernel.wall_time()) // MS
+    harness.advance(20)
+    exchange.silent = False
+    exchange.send(exchange.streams[-1], verb="LOAD", opts={"load": exchange.load})
+    harness.advance(30)
+    assert caller.statuses() == [200] and NEW_CALL in exchange.stream_of
+    apply_feed_event(harness, 2, host("s1", 1, born_ms=started_ms))
+    harness.advance(500)
+    assert caller.release_reasons() == [] and NEW_CALL in harness.agent.calls_by_tag
+
+
 def test_calls_of_a_replaced_exchange_are_released_though_another_listens_at_its_address() -> None:
     harness = Harness()
     exchange = harness.exchanges[1]
