trials: exchanges that restart around a crashed agent, calls named elsewhere, cuts judged

Change: two troubles, drawn by a generator of their own: an exchange restarts before, while or after a killed agent comes back, told early or late; and callers name calls to another agent that has run for long.

--- a/peattrestle/trials/caller.py
+++ b/peattrestle/trials/caller.py
@@ -233,6 +233,24 @@
             request.connection, request.announced_at = driver.connection, self.kernel.now()
             driver.send(announcement(request.call_id, "7f3a", exchange))
 
+    def announce_elsewhere(self, agent: int, exchanges: set[str], duration: int) -> Coroutine[None]:
+        """Names the calls that stand at `exchanges` to another agent.
+
+        Reads what it sends for `duration` nanoseconds.
+        """
+        try:
+            stream = yield from self.kernel.connect(self.deployment.agent_address(agent), CONNECT_TIMEOUT)
+        except ConnectFailed:
+            return
+        driver = CallerConnectionDriver(self, stream)
+        self.kernel.call_at(self.kernel.now() + duration, lambda: driver.end(by_reset=False))
+        for request in list(self.record.requests.values()):
+            exchange = self.record.exchange_of(request) if request.agent == self.agent else None
+            if exchange in exchanges and request.stands:
+                request.announced_elsewhere.append((agent, self.kernel.now()))
+                driver.send(announcement(request.call_id, "7f3a", str(exchange)))
+        yield from driver.read_messages()
+
     def send_invite(self, driver: CallerConnectionDriver) -> Request:
         """Sends a set-up for a random exchange and decides whether it is written slowly or abandoned."""
         answer_timeout = round(self.deployment.deadline * (0.7 + 0.3 * self.rng.random()))
@@ -308,9 +326,10 @@
         self.rng.choice(usable).send(bodyless_request("BYE", request.call_id))
 
     def on_connection_ended(self, driver: CallerConnectionDriver) -> None:
-        """Replaces an ended connection while the agent is in service."""
-        if driver in self.connections:
-            self.connections.remove(driver)
+        """Replaces an ended connection of the group while the agent is in service."""
+        if driver not in self.connections:
+            return
+        self.connections.remove(driver)
         if self.sending and self.opens_connections and not self.absent:
             self.kernel.spawn(self.open_connection(), "reopen caller connection")
 
--- a/peattrestle/trials/environment.py
+++ b/peattrestle/trials/environment.py
@@ -15,7 +15,7 @@
 from peattrestle.trials.exchange import StandInExchange
 from peattrestle.trials.feed import FeedState, Host, StandInFeed
 from peattrestle.trials.process import AgentProcess
-from peattrestle.trials.record import Departure, Record
+from peattrestle.trials.record import Departure, ExchangeRestart, Record
 from peattrestle.trials.rule_checker import RuleChecker, Violation
 
 MS = 1_000_000  # nanoseconds
@@ -159,13 +159,14 @@
         host = self.hosts[name]
         self.remove_exchange(name)
         replacement = self.open_exchange(host.number, host.address_index)
-        self.feed.publish([self.hosts[replacement.name]])
+        at = self.feed.publish([self.hosts[replacement.name]])
+        self.record.listed_at[replacement.name] = self.notified_by(at)
 
-    def restart_exchange(self, name: str, down: int, removed: int, named: int) -> Coroutine[None]:
+    def restart_exchange(self, name: str, down: int, removed: int | None, named: int) -> Coroutine[None]:
         """Ends an exchange and starts it again under its name and address; the list tells it late.
 
-        It is down for `down` nanoseconds, removed from the list `removed` later, and named again with its
-        start `named` after that, or once the feed is up.
+        It is down for `down` nanoseconds, removed from the list `removed` later unless that is None, and
+        named again with its start `named` after that, or once the feed is up.
         """
         host, exchange = self.hosts.pop(name), self.exchanges.pop(name)
         established = [attempt for attempt, _ in exchange.established.values()]
@@ -176,15 +177,20 @@
         host = replace(host, born_ms=self.kernel.wall_time() // MS)
         restarted = self.create_exchange(name, host.address_index, f"{name} {self.exchange_counter}")
         restarted.delay, restarted.behaviours = exchange.delay, exchange.behaviours
-        yield from self.kernel.sleep(removed)
-        self.feed.publish([replace(host, state="DELETED")])
+        restarted.holding_time = exchange.holding_time
+        started_at = self.kernel.now()
+        if removed is not None:
+            yield from self.kernel.sleep(removed)
+            self.feed.publish([replace(host, state="DELETED")])
         yield from self.kernel.sleep(named)
         while self.feed.state is not FeedState.UP:
             yield from self.kernel.sleep(20 * MS)
         at = self.feed.publish([host])
         self.hosts[name], self.exchanges[name] = host, restarted
+        restart = ExchangeRestart(name, started_at, at)
+        self.record.restarts.append(restart)
         for attempt in established:
-            attempt.exchange_ended_at, attempt.restarted = self.notified_by(at), True
+            attempt.exchange_ended_at, attempt.restart = self.notified_by(at), restart
         self.record.add_event(at, f"{name} named again, started at {host.born_ms}")
 
     # The feed.
@@ -203,6 +209,9 @@
         for departure in self.record.departures.values():
             if departure.leaving_at >= self.feed.outage_began:
                 departure.notified_at = min(departure.notified_at, self.feed_reconnected_by)
+        for name, listed_at in self.record.listed_at.items():
+            if listed_at >= now:
+                self.record.listed_at[name] = min(listed_at, self.feed_reconnected_by)
 
     def move_feed(self) -> None:
         """Moves the feed to another address, updates the configurations and sends SIGHUP to the agents."""
@@ -273,14 +282,14 @@
         if start_again:
             yield from self.start_agent(agent)
 
-    def crash_agent(self, agent: int) -> Coroutine[None]:
-        """Sends SIGKILL to an agent without a SIGTERM and starts it again."""
+    def crash_agent(self, agent: int, down: int = RESTART_DELAY) -> Coroutine[None]:
+        """Sends SIGKILL to an agent without a SIGTERM and starts it again `down` nanoseconds later."""
         process, callers = self.agents[agent], self.callers[agent]
         if not process.in_service:
             return
         process.kill_without_warning()
         callers.sending = callers.opens_connections = False
-        yield from self.kernel.sleep(RESTART_DELAY)
+        yield from self.kernel.sleep(down)
         yield from self.start_agent(agent)
 
     # End of the trial.
--- a/peattrestle/trials/exchange.py
+++ b/peattrestle/trials/exchange.py
@@ -228,7 +228,7 @@
     def end_call(self, tag: str) -> None:
         """Releases the call on its connection or another one of its agent, and again on the next one."""
         attempt, stream = self.established.pop(tag)
-        attempt.released_at = self.kernel.now()
+        attempt.released_at = attempt.over_at = self.kernel.now()
         data = json.dumps({"verb": "FINISH", "tag": tag, "opts": {}, "rc": lines.NORMAL}).encode() + b"\n"
         agent = self.record.requests[tag].agent
         self.repeated_releases.setdefault(agent, []).append((attempt, data))
@@ -258,7 +258,7 @@
         for stream in list(self.streams):
             stream.abort()
         for attempt, _ in self.established.values():
-            attempt.exchange_ended_at = self.kernel.now()
+            attempt.exchange_ended_at = attempt.over_at = self.kernel.now()
         self.established.clear()
 
     def end_random_connection(self, by_reset: bool) -> None:
--- a/peattrestle/trials/random_trial.py
+++ b/peattrestle/trials/random_trial.py
@@ -25,6 +25,8 @@
 MAX_RESTART_DURATION = 25 * SECOND
 MAX_RELEASE_WAIT = 11 * SECOND  # until each call that was established is over and its release overdue
 BURST_SIZE = 25  # set-ups
+LONG_RUN = 8 * SECOND  # of an agent before calls that it does not know are named to it
+LONG_HOLDING_TIME = 6 * SECOND  # of calls at an exchange that is going to restart
 SILENT_CROWD_SIZE = 150  # callers
 
 OUTAGES = (FeedState.DOWN, FeedState.SILENT, FeedState.REFUSING, FeedState.SLOW)
@@ -68,14 +70,16 @@
 class Trial:
     """One random trial. The seed determines what happens; the exact moments depend on real time.
 
-    Troubles of callers are drawn by a generator of their own, `caller_rng`, and those of strangers and of
-    exchanges that restart unlisted by `stranger_rng`.
+    Troubles of callers are drawn by a generator of their own, `caller_rng`, those of strangers and of
+    exchanges that restart unlisted by `stranger_rng`, and those of calls named after a restart by
+    `naming_rng`.
     """
 
     def __init__(self, seed: int, directory: Path, in_bursts: bool = False) -> None:
         self.seed, self.rng = seed, random.Random(f"trial/{seed}")
         self.caller_rng = random.Random(f"trial/{seed}/callers")
         self.stranger_rng = random.Random(f"trial/{seed}/strangers")
+        self.naming_rng = random.Random(f"trial/{seed}/namings")
         deployment = draw_deployment(seed, self.rng)
         caller_behaviour = CallerBehaviour(
             mean_interval=self.rng.choice((10, 25, 60)) * MS,
@@ -105,6 +109,9 @@
             plan.append(PlannedTrouble(name, self.caller_rng.randint(0, TROUBLE_DURATION // MS) * MS))
         for name in self.stranger_rng.sample(sorted(STRANGER_TROUBLES), self.stranger_rng.randint(0, 2)):
             plan.append(PlannedTrouble(name, self.stranger_rng.randint(0, TROUBLE_DURATION // MS) * MS))
+        for name in self.naming_rng.sample(sorted(NAMING_TROUBLES), self.naming_rng.randint(0, 2)):
+            latest = TROUBLE_DURATION // MS
+            plan.append(PlannedTrouble(name, self.naming_rng.randint(latest // 3, latest) * MS))
         return sorted(plan, key=lambda planned: planned.at)
 
     def draw_behaviours(self, exchange: StandInExchange) -> None:
@@ -139,7 +146,8 @@
         """Waits until the trouble is due and runs it."""
         yield from self.environment.kernel.sleep(planned.at)
         self.environment.record.add_event(self.environment.kernel.now(), f"trouble: {planned.name}")
-        yield from (TROUBLES | CALLER_TROUBLES | STRANGER_TROUBLES)[planned.name](self)
+        troubles = TROUBLES | CALLER_TROUBLES | STRANGER_TROUBLES | NAMING_TROUBLES
+        yield from troubles[planned.name](self)
 
     # Random choices.
 
@@ -346,3 +354,87 @@
     "leaving clients": leaving_clients,
     "unlisted restart": unlisted_restart,
 }
+
+
+def serving_exchange(trial: Trial, rng: random.Random, agent: int) -> str | None:
+    """Returns an exchange that may restart, not the agent's own one; None if there is none."""
+    hosts = trial.environment.hosts
+    names = [name for name in sorted(trial.environment.exchanges) if hosts[name].state == "SERVING"]
+    others = [name for name in names if hosts[name].number != agent]
+    return rng.choice(others) if len(names) > 2 and others else None
+
+
+def wait_for_planned_restart(trial: Trial, agent: int) -> Coroutine[None]:
+    """Waits until the agent is back from its planned restart, for a while at most."""
+    environment = trial.environment
+    deadline = environment.kernel.now() + TROUBLE_DURATION
+    while environment.kernel.now() < deadline:
+        runs = [run for run in environment.record.agent_runs if run.agent == agent]
+        if len(runs) > 1 and environment.agents[agent].in_service:
+            return
+        yield from environment.kernel.sleep(50 * MS)
+
+
+def restart_around_a_crash(trial: Trial) -> Coroutine[None]:
+    """An exchange restarts before, while or after a killed agent comes back.
+
+    The list tells of it early or late, and the callers come back soon or after some seconds.
+    """
+    environment, rng = trial.environment, trial.naming_rng
+    agent = rng.randrange(environment.deployment.agents)
+    yield from wait_for_planned_restart(trial, agent)
+    name = serving_exchange(trial, rng, agent)
+    if name is None or not environment.agents[agent].in_service:
+        return
+    crash_at = rng.randint(1_000, 1_500) * MS
+    exchange_ends_at = crash_at + rng.randint(-700, 1_800) * MS
+    environment.exchanges[name].holding_time = LONG_HOLDING_TIME
+    down, named = rng.choice((0, 200, 800)) * MS, rng.choice((50, 600, 2_400)) * MS
+
+    def restart() -> Coroutine[None]:
+        yield from environment.kernel.sleep(exchange_ends_at)
+        if name in environment.exchanges and environment.hosts[name].state == "SERVING":
+            yield from environment.restart_exchange(name, down, None, named)
+
+    task = environment.kernel.spawn(restart(), "restart of an exchange")
+    yield from environment.kernel.sleep(crash_at)
+    callers = environment.callers[agent]
+    callers.absent = True
+    yield from environment.crash_agent(agent, rng.randint(300, 1_200) * MS)
+    yield from environment.kernel.sleep(rng.choice((0, 1_000, 2_500)) * MS)
+    callers.absent = False
+    if callers.opens_connections:
+        yield from callers.announce_established_calls()
+    yield from task.join()
+
+
+def calls_named_elsewhere(trial: Trial) -> Coroutine[None]:
+    """An exchange restarts; later the callers of an agent name their calls to another one as well.
+
+    The other one has run for long by then, so that only its callers' naming tells it of the calls.
+    """
+    environment, rng = trial.environment, trial.naming_rng
+    if environment.deployment.agents < 2:
+        return
+    agent, other = rng.sample(range(environment.deployment.agents), 2)
+    yield from wait_for_planned_restart(trial, other)
+    running_for = environment.kernel.now() - environment.agents[other].current_run.started_at
+    yield from environment.kernel.sleep(max(0, LONG_RUN - running_for))
+    name = serving_exchange(trial, rng, other)
+    if name is None:
+        return
+    environment.exchanges[name].holding_time = LONG_HOLDING_TIME
+    yield from environment.restart_exchange(
+        name, rng.choice((0, 200)) * MS, None, rng.randint(50, 1_500) * MS
+    )
+    yield from environment.kernel.sleep(rng.randint(100, 2_500) * MS)
+    # An agent has no connections to its own exchange, so it can tell nothing of calls there.
+    connected = {host.name for host in environment.hosts.values() if host.number != other}
+    if environment.agents[other].in_service:
+        yield from environment.callers[agent].announce_elsewhere(other, connected, 3 * SECOND)
+
+
+NAMING_TROUBLES: dict[str, Trouble] = {
+    "restart around a crash": restart_around_a_crash,
+    "calls named elsewhere": calls_named_elsewhere,
+}
--- a/peattrestle/trials/record.py
+++ b/peattrestle/trials/record.py
@@ -58,7 +58,8 @@
     """One set-up as its caller sees it. A time of 0 means: not yet.
 
     `answer_timeout` is how long the caller waits for the final answer, `sent_at` the time of the last byte.
-    `announced_at` is when the caller last named the established call to the agent, on `connection`.
+    `announced_at` is when the caller last named the established call to the agent, on `connection`;
+    `announced_elsewhere` are the agents and times of its namings to other ones.
     """
 
     call_id: str
@@ -72,6 +73,7 @@
     release_sent_at: int = 0
     announced_at: int = 0
     answers: list[Answer] = field(default_factory=list)
+    announced_elsewhere: list[tuple[int, int]] = field(default_factory=list)
 
     @property
     def stands(self) -> bool:
@@ -80,12 +82,22 @@
         return is_established and not self.released_at and not self.release_sent_at
 
 
+@dataclass(slots=True, frozen=True)
+class ExchangeRestart:
+    """A new process of an exchange under its old name: its start, and when the feed told of it."""
+
+    exchange: str
+    started_at: int
+    told_at: int
+
+
 @dataclass(slots=True)
 class Attempt:
     """One set-up as an exchange saw it.
 
     `released_at` is when the exchange last sent a release of the call, `exchange_ended_at` when it died while
-    the call was established, or when agents counted as told if it `restarted` under its name.
+    the call was established, or when agents counted as told if it came back by `restart` under its name.
+    `over_at` is when the exchange released the call first, or died; 0 if the agent ended it.
     """
 
     call_id: str
@@ -96,7 +108,8 @@
     description: str = ""
     released_at: int = 0
     exchange_ended_at: int = 0
-    restarted: bool = False
+    restart: ExchangeRestart | None = None
+    over_at: int = 0
 
 
 @dataclass(slots=True)
@@ -129,7 +142,8 @@
     """Everything that one trial has observed.
 
     `stranger_attempts` are those of clients that are no callers, `strangers_left` has when the client of a
-    Call-ID had left all its connections; `events` are the lines of its timeline.
+    Call-ID had left all its connections; `listed_at` is when the agents counted as told of an exchange
+    that replaces another one, by its name; `events` are the lines of its timeline.
     """
 
     requests: dict[str, Request] = field(default_factory=dict)
@@ -137,6 +151,8 @@
     caller_connections: list[CallerConnection] = field(default_factory=list)
     agent_runs: list[AgentRun] = field(default_factory=list)
     departures: dict[str, Departure] = field(default_factory=dict)
+    restarts: list[ExchangeRestart] = field(default_factory=list)
+    listed_at: dict[str, int] = field(default_factory=dict)
     abusive_unanswered: list[str] = field(default_factory=list)
     unsolicited: list[str] = field(default_factory=list)
     stranger_attempts: list[Attempt] = field(default_factory=list)
--- a/peattrestle/trials/rule_checker.py
+++ b/peattrestle/trials/rule_checker.py
@@ -16,6 +16,7 @@
     Attempt,
     AttemptEnd,
     ConnectionEnd,
+    ExchangeRestart,
     Record,
     Request,
 )
@@ -33,6 +34,11 @@
 # first message on it.
 DELIVERY_WINDOW = RELEASE_TIMEOUT + 500 * MS
 READY_TIMEOUT = 10_000 * MS
+# What no sign tells an agent: whether a call that is named to it later than this after its start was set up
+# before or after a restart of its exchange, ...
+NAMED_LATE = UNSENT_RELEASE_TIMEOUT
+# ... and whether its earlier run had been told of a restart up to so long before its own start.
+RECENT_RESTART = 2_000 * MS
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,6 +76,7 @@
         violations += self.check_departures()
         violations += self.check_strangers()
         violations += self.check_releases()
+        violations += self.check_cuts()
         violations += self.check_agents()
         violations += [
             Violation("abusive", 0, f"no answer in 3 s to {data}") for data in self.record.abusive_unanswered
@@ -242,15 +249,67 @@
             return 0
         if attempt.description != request.answers[0].description:
             return 0
-        if attempt.restarted and request.announced_at:
-            return 0  # review/9: an agent cannot tell whether such a call was there before the restart
+        run = self.run_at(request.agent, request.announced_at)
+        restart = attempt.restart
+        named_after_restart = restart is not None and request.announced_at > restart.started_at
+        if named_after_restart and not self.must_be_taken_for_lost(attempt, request):
+            return 0
         if ended_at >= request.announced_at:
             return ended_at
-        run = self.run_at(request.agent, request.announced_at)
         if attempt.released_at and (run is None or attempt.released_at < run.started_at):
             return 0
         return request.announced_at
 
+    def must_be_taken_for_lost(self, attempt: Attempt, request: Request) -> bool:
+        """Whether the agent to which a call is named must conclude that its exchange's restart ended it."""
+        run = self.run_at(request.agent, request.announced_at)
+        if run is None or attempt.restart is None:
+            return False
+        return self.is_taken_for_lost(attempt.restart, run, request.announced_at)
+
+    def is_taken_for_lost(self, restart: ExchangeRestart, run: AgentRun, announced_at: int) -> bool:
+        """Whether a call that is named after the restart counts as lost by it, as far as a run can know."""
+        if announced_at >= run.started_at + NAMED_LATE:
+            return False
+        return restart.told_at >= run.started_at or restart.started_at >= run.started_at - RECENT_RESTART
+
+    def check_cuts(self) -> list[Violation]:
+        """No call is released to its caller while it stands at its exchange.
+
+        A call may be at an exchange that the agent did not know yet, since it took over another one's
+        address. The agent ends such a call on both sides when it is told.
+        """
+        violations = []
+        for attempt in self.record.attempts:
+            request = self.record.requests[attempt.call_id]
+            if not request.released_at or request.release_sent_at or request.given_up_at:
+                continue
+            if not request.answers or request.answers[0].description != attempt.description:
+                continue
+            if attempt.arrived_at <= self.record.listed_at.get(attempt.exchange, 0) + self.tolerance:
+                continue
+            over_at = attempt.over_at or attempt.released_at or attempt.exchange_ended_at
+            if over_at and over_at <= request.released_at + self.tolerance:
+                continue
+            if not self.may_be_taken_for_lost(attempt, request):
+                text = f"{request.call_id}: released to its caller while it stood at {attempt.exchange}"
+                violations.append(Violation("cut", request.released_at, text))
+        return violations
+
+    def may_be_taken_for_lost(self, attempt: Attempt, request: Request) -> bool:
+        """Whether an agent to which the call was named must conclude that an exchange's restart ended it."""
+        namings = list(request.announced_elsewhere)
+        if request.announced_at:
+            namings.append((request.agent, request.announced_at))
+        for restart in self.record.restarts:
+            if restart.exchange != attempt.exchange:
+                continue
+            for agent, named_at in namings:
+                run = self.run_at(agent, named_at)
+                if run is not None and self.is_taken_for_lost(restart, run, named_at):
+                    return True
+        return False
+
     def release_timeout(self, attempt: Attempt, request: Request) -> int:
         """Returns the time in which the caller gets the release.
 
--- a/tests/trials/test_rule_checker.py
+++ b/tests/trials/test_rule_checker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -15,6 +16,7 @@
     CallerConnection,
     ConnectionEnd,
     Departure,
+    ExchangeRestart,
     Record,
     Request,
 )
@@ -170,6 +172,68 @@
     assert broken_rules(record) == broken
 
 
+def record_of_named_call(restart: ExchangeRestart, named_ms: int, **attempt_fields: Any) -> Record:
+    """Returns a record of a call named, `named_ms` after its set-up, to a run that started after 2 s."""
+    attempt = replace(make_attempt("s1", 1, 50, AttemptEnd.STARTED), **attempt_fields)
+    record = make_record([ACCEPTED], [attempt])
+    record.restarts.append(restart)
+    record.agent_runs[0].killed_at = SENT_AT + 1_000 * MS
+    record.agent_runs.append(AgentRun(0, SENT_AT + 2_000 * MS, ready_at=SENT_AT + 2_200 * MS))
+    record.requests[CALL_ID].announced_at = SENT_AT + named_ms * MS
+    return record
+
+
+@pytest.mark.parametrize(
+    ("started_ms", "told_ms", "named_ms", "broken"),
+    [
+        (1_500, 1_900, 2_500, ["lost"]),
+        (2_500, 2_600, 3_000, ["lost"]),
+        (2_500, 6_000, 3_000, ["lost"]),
+        (12_000, 12_500, 11_000, ["lost"]),
+        (8_000, 8_500, 11_000, []),  # set up through another agent, as far as this one can know
+        (-500, 0, 2_500, []),  # the earlier run had been told
+        (-500, 2_100, 2_500, ["lost"]),
+    ],
+)
+def test_a_call_named_after_its_exchange_restarted_is_released(
+    started_ms: int, told_ms: int, named_ms: int, broken: list[str]
+) -> None:
+    restart = ExchangeRestart("s1", SENT_AT + started_ms * MS, SENT_AT + told_ms * MS)
+    record = record_of_named_call(restart, named_ms)
+    attempt = record.attempts[0]
+    attempt.restart, attempt.exchange_ended_at, attempt.over_at = restart, restart.told_at, restart.started_at
+    assert broken_rules(record) == broken
+
+
+@pytest.mark.parametrize(
+    ("started_ms", "named_ms", "over_ms", "broken"),
+    [
+        (8_000, 11_000, 0, ["cut"]),
+        (8_000, 11_000, 13_000, ["cut"]),
+        (8_000, 11_000, 11_900, []),
+        (2_500, 3_000, 0, []),  # taken for one of the earlier run
+        (-500, 11_000, 0, ["cut"]),
+    ],
+)
+def test_a_call_that_stands_is_not_released(
+    started_ms: int, named_ms: int, over_ms: int, broken: list[str]
+) -> None:
+    restart = ExchangeRestart("s1", SENT_AT + started_ms * MS, SENT_AT + started_ms * MS + MS)
+    times = {"over_at": SENT_AT + over_ms * MS, "released_at": SENT_AT + over_ms * MS} if over_ms else {}
+    record = record_of_named_call(restart, named_ms, **times)
+    record.requests[CALL_ID].released_at = SENT_AT + 12_000 * MS
+    assert broken_rules(record) == broken
+
+
+def test_a_call_named_to_another_agent_is_not_cut_by_it() -> None:
+    restart = ExchangeRestart("s1", SENT_AT - 2_000 * MS, SENT_AT - 1_000 * MS)
+    record = make_record([ACCEPTED], [STARTED_ATTEMPT], released_at=SENT_AT + 1_000 * MS)
+    record.restarts.append(restart)
+    record.agent_runs.append(AgentRun(1, STARTED_AT - 20_000 * MS, ready_at=STARTED_AT))
+    record.requests[CALL_ID].announced_elsewhere.append((1, SENT_AT + 900 * MS))
+    assert broken_rules(record) == ["cut"]
+
+
 def test_agent_that_ends_unexpectedly_or_never_becomes_ready_is_reported() -> None:
     record = make_record([refusal(SENT_AT + MS)])
     record.agent_runs[0].ended_at = OBSERVED_UNTIL - MS
