platform: one refused connection does not end calls after an orderly close

Cause: a refusal while no connection was up counted as the end of the process. PROTOCOL.md: "A dying process resets its connections"; this one closed them in order. Evidence: in tests/platform/test_refused_connections.py the calls were cut with refusals of 50 ms, 1 s and 4 s after a close in order, and when a new agent's first connection was refused.

Change: a refusal ends the calls only if the connection lost last was broken.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -5,7 +5,7 @@
 - whether a new set-up is accepted: up to `MAX_CALLS` calls and within the memory limit, and during a shutdown
   only those that can still be answered in time;
 - when a call is over although nobody released it: its exchange restarted, left its address, refuses
-  connections, or gave no sign of life for `UNREACHABLE_TIMEOUT`;
+  connections after one was broken, or gave no sign of life for `UNREACHABLE_TIMEOUT`;
 - where a release is sent, and how long it is kept while there is no connection to send it on.
 
 Routing is decided by the controller. docs/platform.md maps messages to the controller's events and actions.
@@ -42,7 +42,7 @@
 from peattrestle.platform.config import Config
 from peattrestle.platform.connections import Caller, CallerConnections, CallerEvidence
 from peattrestle.platform.follow import Follower
-from peattrestle.platform.link import CONNECTIONS_PER_LINK, Link, LinkConnection
+from peattrestle.platform.link import CONNECTIONS_PER_LINK, ConnectionEnd, Link, LinkConnection
 from peattrestle.platform.releases import CallerReleases
 from peattrestle.platform.request import BadSetUp, SetUpRequest, is_call_id, read_set_up
 from peattrestle.platform.restarts import ExchangeRestarts
@@ -703,12 +703,12 @@
     def on_link_refused(self, link: Link, nothing_listens: bool) -> None:
         """Handles a failed connection attempt.
 
-        `nothing_listens`: nothing listens at the address, so the process and its established calls are gone,
-        unless it still sends on the link's other connection.
+        `nothing_listens`: nothing listens at the address. If its last connection was broken as well, the
+        process and its established calls are gone.
         """
         self.log("debug", "connection refused", exchange=link.exchange, nothing_listens=nothing_listens)
         self.fail_waiting_tries(link)
-        if nothing_listens and not link.is_up:
+        if nothing_listens and not link.is_up and link.last_end is ConnectionEnd.BROKEN:
             self.end_calls_at(link.exchange)
 
     def on_line(self, link: Link, connection: LinkConnection, line: lines.Line) -> None:
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -38,6 +39,18 @@
 UNCONFIRMED_RETENTION = 3_000 * MS  # longer than it takes to detect a silent connection
 
 
+class ConnectionEnd(enum.Enum):
+    """How the last connection ended that was up: `CLOSED` in order by the exchange, or `BROKEN` otherwise.
+
+    A dying process resets its connections. One that is alive may close idle ones, and refuse new ones for as
+    long as it holds as many as it accepts.
+    """
+
+    NONE = "none"
+    CLOSED = "closed"
+    BROKEN = "broken"
+
+
 class LinkObserver(Protocol):
     """Callbacks of a link."""
 
@@ -65,13 +78,14 @@
 
     `pending_count` is the number of set-ups pending on it, `probed_at` the time of the unanswered probe, 0
     without one, `average_gap` the moving average of the time between signs of life. `missed_reports` counts
-    the load reports that only the other connection received since its last sign of life.
+    the load reports that only the other connection received since its last sign of life. `is_closed`: the
+    exchange has closed the current connection in order.
     """
 
     def __init__(self, link: Link, index: int) -> None:
         self.link, self.kernel = link, link.kernel
         self.stream: Stream | None = None
-        self.has_received = False
+        self.has_received = self.is_closed = False
         self.pending_count = self.missed_reports = 0
         self.last_received_at = self.probed_at = 0
         self.average_gap = INITIAL_GAP
@@ -119,13 +133,15 @@
         """Handles the end of the connection; returns whether the exchange had sent anything on it."""
         stream.abort()
         has_received, self.stream, self.has_received = self.has_received, None, False
+        if has_received:
+            self.link.last_end = ConnectionEnd.CLOSED if self.is_closed else ConnectionEnd.BROKEN
         self.link.connect_failed = self.link.connect_failed or not has_received
         self.link.on_lost(self, why)
         return has_received
 
     def receive_lines(self, stream: Stream) -> Coroutine[str]:
         """Reads lines until the connection ends; returns the reason."""
-        self.stream, self.has_received = stream, False
+        self.stream, self.has_received, self.is_closed = stream, False, False
         self.last_received_at, self.probed_at, self.missed_reports = self.kernel.now(), 0, 0
         reader = lines.Reader()
         watchdog = self.kernel.spawn(self.watch_silence(stream), f"watchdog {self.link.exchange}")
@@ -133,6 +149,7 @@
             while True:
                 data = yield from stream.read()
                 if not data:
+                    self.is_closed = True
                     return "the exchange closed the connection"
                 reader.feed(data)
                 while (line := reader.next()) is not None:
@@ -211,8 +228,8 @@
     `tries` are the pending set-ups by the call's id in the protocol, `waiting` the encoded set-ups that wait
     for a connection. `unconfirmed` are the releases that the exchange has not confirmed, including those of
     set-ups that were given up. New connections go to `address`. `connect_failed`: a connection attempt has
-    failed since a line was last received. `retired`: the exchange left the list and is not connected to
-    again.
+    failed since a line was last received. `last_end` is how the connection ended that was lost last.
+    `retired`: the exchange left the list and is not connected to again.
     """
 
     def __init__(
@@ -221,6 +238,7 @@
         self.kernel, self.observer, self.exchange, self.address = kernel, observer, exchange, address
         self.dial_timeout = dial_timeout
         self.connect_failed = self.closing = self.retired = False
+        self.last_end = ConnectionEnd.NONE
         self.tries: dict[str, LinkTry] = {}
         self.waiting: dict[str, bytes] = {}
         self.unconfirmed: dict[str, UnconfirmedRelease] = {}
