platform: the end of a process seen on its connections counts for calls named later

What callers would see: an exchange dies and comes back while the list is late (discovery down); calls named after that to an agent that has just started are left standing until the list tells, which may be after the 8 s of the rule.

Cause: a broken connection and a refused one ended the calls held at that moment, and were forgotten. Change: they are recorded like a start, so a call of an earlier run gets the same verdict whether it is named before or after.

Not seen over real processes.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -709,6 +709,7 @@
         self.log("debug", "connection refused", exchange=link.exchange, nothing_listens=nothing_listens)
         self.fail_waiting_tries(link)
         if nothing_listens and not link.is_up and link.last_end is ConnectionEnd.BROKEN:
+            self.restarts.on_process_gone(link.exchange, self.kernel.now())
             self.end_calls_at(link.exchange)
 
     def on_line(self, link: Link, connection: LinkConnection, line: lines.Line) -> None:
--- a/peattrestle/platform/restarts.py
+++ b/peattrestle/platform/restarts.py
@@ -1,7 +1,8 @@
 """Decides which established calls an exchange lost when its process restarted. No I/O and no clock.
 
-A restart ends the calls that were set up before it. When a call was set up is known exactly only if this run
-of the agent did it. For a call that a caller names, there is only a latest time:
+A restart ends the calls that were set up before it. The exchange list tells of it, late; the end of the old
+process may show on its connections before that. When a call was set up is known exactly only if this run of
+the agent did it. For a call that a caller names, there is only a latest time:
 
 - A call that is named within `RETURN_TIME` of the agent's start is taken for one of an earlier run, whose
   callers have come back: it was set up before this run started.
@@ -27,8 +28,8 @@
 class _Restarts:
     """What is known of one exchange.
 
-    `born_ms` is its latest start in Unix milliseconds, as the list tells it. Calls that were set up before
-    `lost_before` are over.
+    `born_ms` is its latest start in Unix milliseconds, as the list tells it, 0 for long ago. Calls that were
+    set up before `lost_before` are over.
     """
 
     born_ms: int = 0
@@ -69,6 +70,11 @@
         restarts.lost_before = max(restarts.lost_before, lost_before)
         return True
 
+    def on_process_gone(self, exchange: str, now: int) -> None:
+        """Records that the exchange's process has ended, with all calls that were set up before `now`."""
+        restarts = self._exchanges.setdefault(exchange, _Restarts())
+        restarts.lost_before = max(restarts.lost_before, now)
+
     def is_lost(self, exchange: str, latest_set_up: int) -> bool:
         """Whether a call that was set up at `latest_set_up` or before was lost by its exchange."""
         restarts = self._exchanges.get(exchange)
--- a/tests/platform/test_refused_connections.py
+++ b/tests/platform/test_refused_connections.py
@@ -5,7 +5,12 @@
 import pytest
 
 from tests.platform.test_agent import TAG, Exchange, Harness, invite
-from tests.platform.test_named_calls import CUT, assert_stands, name_call
+from tests.platform.test_named_calls import (
+    CUT,
+    assert_stands,
+    name_call,
+    released_at_exchange,
+)
 
 
 class FullAtStart(Harness):
@@ -73,6 +78,18 @@
     assert_stands(harness, caller)
 
 
+def test_a_call_named_after_its_exchange_died_is_released_without_the_news_of_a_restart() -> None:
+    # Guards against a sign that ends the calls held at that moment, and is forgotten before others are named.
+    harness = Harness()
+    harness.advance(500)
+    stop_listening(harness, in_order=False)
+    harness.advance(1000)
+    listen_again(harness)
+    caller = name_call(harness)
+    assert caller.release_reasons() == CUT and released_at_exchange(harness)
+    harness.assert_idle()
+
+
 def test_a_call_named_to_an_agent_that_has_run_for_long_survives_the_end_of_an_earlier_process() -> None:
     harness = Harness()
     harness.advance(20_000)
