platform: signals after a requested stop do not end the process with an error

Cause: the interpreter restores the default action of handled signals while it ends. Evidence: a process that got SIGHUP, SIGTERM or SIGINT every 0.5 ms from its SIGTERM to its end was ended by it in 8 of 9 runs.

Change: the handled signals are ignored once the event loop has ended; the interpreter leaves ignored ones alone. The new test failed before and passed in 5 runs of 3 cases.

--- a/peattrestle/platform/__main__.py
+++ b/peattrestle/platform/__main__.py
@@ -21,6 +21,8 @@
 from peattrestle.platform.memory import resident_bytes
 from peattrestle.runtime.epoll import EpollKernel
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 def debug_lines() -> int:
     """Returns the limit of debug lines per second from the environment, or the default."""
@@ -28,6 +30,12 @@
     return int(text) if text.isascii() and text.isdigit() and len(text) < 7 else MAX_DEBUG_LINES
 
 
+def ignore_signals() -> None:
+    """Ignores the handled signals: the interpreter restores their default actions while it ends."""
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def main() -> int:
     """Runs the agent until it is stopped; returns the exit code."""
     path = os.environ.get("LB_CONFIG", "")
@@ -58,7 +66,7 @@
             log("error", "invalid configuration, keeping the old one", fault=str(error))
 
     kernel.on_crash = log_crash
-    kernel.on_signals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP), handle_signal)
+    kernel.on_signals(HANDLED_SIGNALS, handle_signal)
     try:
         agent.start()
     except OSError as error:
@@ -67,6 +75,7 @@
     gc.collect()
     gc.freeze()
     kernel.run()
+    ignore_signals()
     kernel.close()
     return 0
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -133,6 +134,31 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT], ids=lambda number: number.name
+)
+def test_signals_in_the_last_moments_of_a_stop_do_not_end_the_process(
+    started: StartedProcess, number: signal.Signals
+) -> None:
+    # Guards against the default action of a signal that arrives while the interpreter ends.
+    process, address, _, _ = started
+    name, port = address.split(":")
+    caller = None
+    while caller is None:
+        with contextlib.suppress(ConnectionRefusedError):
+            caller = socket.create_connection((name, int(port)), TIMEOUT)
+    caller.sendall(request("OPTIONS"))
+    while b" 200 " not in read_until(caller, b"\r\n\r\n"):
+        caller.sendall(request("OPTIONS"))
+    caller.close()
+    process.send_signal(signal.SIGTERM)
+    deadline = time.monotonic() + TIMEOUT
+    while process.poll() is None and time.monotonic() < deadline:
+        process.send_signal(number)
+        time.sleep(0.0005)
+    assert process.returncode == 0
+
+
 @pytest.mark.parametrize("text", ["{", None])
 def test_an_invalid_configuration_is_reported_on_one_line_with_exit_code_2(
     text: str | None, tmp_path: Path
