platform: calls, exchanges' calls and exchanges' releases in modules of their own, no circle

agent.py held the types of a call and of a route try, so adopted, connections, link and shutdown imported it for their types; and it kept the established calls and the releases to and from exchanges as bare maps and tuples.

--- a/peattrestle/platform/adopted.py
+++ b/peattrestle/platform/adopted.py
@@ -7,11 +7,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from peattrestle.platform.agent import SipCall
-    from peattrestle.platform.connections import Caller
+from peattrestle.platform.calls import SipCall
+from peattrestle.platform.connections import Caller
 
 
 class AdoptedCalls:
--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -15,9 +15,8 @@
 from __future__ import annotations
 
 import sys
-from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from peattrestle import interface as api
 from peattrestle.calls.core import (
@@ -26,10 +25,8 @@
     FAILED,
     OPEN,
     REFUSED,
-    Call,
     Core,
     FinalAnswer,
-    RouteTry,
     Unsent,
 )
 from peattrestle.calls.guard import Guard
@@ -39,13 +36,15 @@
 from peattrestle.platform import mapping, memory
 from peattrestle.platform.adopted import AdoptedCalls
 from peattrestle.platform.call_ids import RecentCallIds
+from peattrestle.platform.calls import SipCall
 from peattrestle.platform.config import Config
 from peattrestle.platform.connections import Caller, CallerConnections, CallerEvidence
+from peattrestle.platform.exchange_calls import ExchangeCalls
+from peattrestle.platform.exchange_releases import EarlyReleases, ExchangeRelease, UndeliveredReleases
 from peattrestle.platform.follow import Follower
-from peattrestle.platform.link import CONNECTIONS_PER_LINK, ConnectionEnd, Link, LinkConnection
+from peattrestle.platform.link import CONNECTIONS_PER_LINK, ConnectionEnd, Link, LinkConnection, LinkTry
 from peattrestle.platform.releases import CallerReleases
 from peattrestle.platform.request import BadSetUp, SetUpRequest, is_call_id, read_set_up
-from peattrestle.platform.restarts import ExchangeRestarts
 from peattrestle.platform.shutdown import run_shutdown
 from peattrestle.policy.shutdown import ShutdownPlan, retry_delay
 from peattrestle.runtime import Coroutine, Kernel
@@ -60,47 +59,14 @@
 RESERVED_SOCKETS = 16  # listener, feed, signals, connections being opened or closed, standard streams
 MAX_CALLS = 8_000  # within the memory limit, see `peattrestle.platform.memory`
 MAX_STORED_RELEASES = 8_000  # within the memory limit; as many as calls are held
-EARLY_RELEASE_RETENTION = 60_000 * MS  # for releases that precede the request to adopt their call
-
-
-@dataclass(slots=True, kw_only=True)
-class LinkTry(RouteTry):
-    """A route try on a link; `connection` is None while its set-up waits for one.
-
-    `latest_set_up` is the latest time at which the call was set up, as far as is known.
-    """
-
-    link: Link
-    latest_set_up: int
-    connection: LinkConnection | None = None
-
-
-@dataclass(slots=True, kw_only=True)
-class SipCall(Call[LinkTry]):
-    """A call set up by SIP.
-
-    `caller` is the connection of its set-up, possibly closed, and None once the call is over. `fields` are
-    the header fields of the set-up and `description` the exchange's body, both for the answer. `answered`:
-    the final answer was sent. `was_sent`: an exchange was sent a set-up. `held_bytes` is the memory that the
-    call counts for.
-    """
-
-    request: SetUpRequest
-    caller: Caller | None
-    fields: dict[str, str]
-    description: str = ""
-    release_cause: int = lines.NORMAL  # Q.850 cause given by the caller
-    answered: bool = False
-    was_sent: bool = False
-    held_bytes: int = 0
 
 
 class Agent(Core[SipCall, LinkTry]):
     """The call agent; log lines go to `log(level, text, **fields)`, `on_stopped` is called after a shutdown.
 
-    `established_calls` are by exchange and Call-ID, `calls_by_tag` by Call-ID. `group_sizes` are the trunk
-    group sizes that the exchanges report. `undelivered_releases` wait, by exchange, for a connection;
-    `early_releases` are the times of releases received for calls that are not known here (yet).
+    `exchange_calls` are the established calls, `calls_by_tag` all calls by Call-ID. `group_sizes` are the
+    trunk group sizes that the exchanges report. `undelivered_releases` wait for a connection to their
+    exchange; `early_releases` were received for calls that are not known here (yet).
     `resident` is the memory that the process uses before it serves anyone, `held_bytes` what all calls hold.
     """
 
@@ -126,7 +92,6 @@
         self.config, self.on_stopped, self.resident = config, on_stopped, resident
         self.held_bytes = 0
         self.adopted_calls = AdoptedCalls()
-        self.restarts = ExchangeRestarts(kernel.now())
         self.recent_call_ids = RecentCallIds()
         self.tracing = True
         self.own_number: int = settings["own_number"]
@@ -138,7 +103,7 @@
         )
         self.dial_timeout: int = get("dial_timeout", 500 * MS)
         self.calls_by_tag: dict[str, SipCall] = {}
-        self.established_calls: dict[str, dict[str, SipCall]] = {}
+        self.exchange_calls = ExchangeCalls(kernel.now())
         self.members: dict[str, Member] = {}
         self.links: dict[str, Link] = {}
         self.group_sizes: dict[str, float] = {}
@@ -147,8 +112,8 @@
         self.releases = CallerReleases(
             kernel, self.connections.active, self.counts, log, lambda: self.memory_plan.releases
         )
-        self.undelivered_releases: dict[str, deque[tuple[str, bytes]]] = {}
-        self.early_releases: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self.undelivered_releases = UndeliveredReleases()
+        self.early_releases = EarlyReleases()
         self.ready = False
         self.shutdown: ShutdownPlan | None = None
         self.refusing_all = False  # refuse every set-up, in the last moments of a shutdown
@@ -163,7 +128,7 @@
         self.connections.listen(self.config.listen)
         for change in self.feed_state.apply_known(self.config.known):
             self.apply_change(change)
-        self.restarts.on_known_starts_applied()
+        self.exchange_calls.restarts.on_known_starts_applied()
         self.follower = Follower(self.kernel, self.feed_state, self.config.feed, self.apply_change, self.log)
         self.kernel.spawn(self.wait_for_exchanges(), "readiness")
         self.kernel.spawn(supervised(self.kernel, self.sweep, "sweep"), "sweep")
@@ -320,7 +285,7 @@
         """
         link.retired = True
         self.remove_link(link)
-        tags = list(self.established_calls.get(link.exchange, {}))
+        tags = [call.request.tag for call in self.exchange_calls.at(link.exchange)]
         for route_try in list(link.tries.values()):
             waited = route_try.connection is None
             if not waited:
@@ -343,26 +308,22 @@
         """Closes a link and drops what is kept for its exchange."""
         link.close()
         del self.links[link.exchange]
-        self.restarts.forget(link.exchange)
-        for tag, _ in self.undelivered_releases.pop(link.exchange, ()):
-            self.log_dropped_release(link.exchange, tag, "the exchange left the list")
+        self.exchange_calls.restarts.forget(link.exchange)
+        for release in self.undelivered_releases.take(link.exchange):
+            self.log_dropped_release(release.exchange, release.call_id, "the exchange left the list")
         if link.exchange not in self.members:
             self.guard.exchanges.pop(link.exchange, None)
 
     def check_restart(self, member: Member, started_at: int) -> None:
         """Ends the calls that an exchange has lost, if the list tells a later start of it than before."""
         now = self.kernel.now()
-        if not self.restarts.on_start_told(member.exchange, member.born_ms, started_at, now):
-            return
-        for call in list(self.established_calls.get(member.exchange, {}).values()):
-            route_try = call.answered_try
-            if route_try is not None and self.restarts.is_lost(member.exchange, route_try.latest_set_up):
-                # A named call may be at the new process after all, and must not stand there alone.
-                self.end_established_call(call, lines.RESET, release_there=call in self.adopted_calls)
+        for call in self.exchange_calls.on_start_told(member.exchange, member.born_ms, started_at, now):
+            # A named call may be at the new process after all, and must not stand there alone.
+            self.end_established_call(call, lines.RESET, release_there=call in self.adopted_calls)
 
     def end_calls_at(self, exchange: str) -> None:
         """Ends all established calls of an exchange that is lost."""
-        for call in list(self.established_calls.get(exchange, {}).values()):
+        for call in self.exchange_calls.at(exchange):
             self.end_established_call(call, lines.RESET)
 
     # Callers.
@@ -385,9 +346,9 @@
 
     def cancel_open_calls(self, caller: Caller) -> None:
         """Cancels the open calls of a caller that has left: nobody is there to answer."""
-        for call in list(caller.open_calls.values()):
+        for tag in list(caller.open_calls):
             self.counts.add("left")
-            self.caller_left(call)
+            self.caller_left(self.calls_by_tag[tag])
 
     def on_caller_seen(self, caller: Caller, evidence: CallerEvidence) -> None:
         """Records what a connection has shown to be."""
@@ -471,7 +432,8 @@
             held_bytes=size,
         )
         self.held_bytes += size
-        self.calls_by_tag[request.tag] = caller.open_calls[request.tag] = call
+        self.calls_by_tag[request.tag] = call
+        caller.open_calls[request.tag] = None
         self.accept_call(
             call,
             api.CallArrived(
@@ -510,24 +472,25 @@
         request = replace(request, description=b"")  # only the release of this call is passed on
         call = SipCall(self.next_id(), now, now, state=ESTABLISHED, request=request, caller=caller, fields={})
         link = self.links.get(request.established_exchange)
-        if link is None or self.early_releases.pop((request.established_exchange, request.tag), 0):
+        if link is None or self.early_releases.take(request.established_exchange, request.tag):
             self.send_release(call, lines.RESET if link is None else lines.NORMAL)
             return
-        latest_set_up = self.restarts.latest_set_up(now)
-        if self.restarts.is_lost(request.established_exchange, latest_set_up):
-            self.counts.add("cut")
-            self.log("debug", "call over", reference=request.tag, cause=lines.RESET)
-            self.send_release(call, lines.RESET)
-            self.release_at_exchange(link, request.tag, lines.encode_release(request.tag, lines.NORMAL))
-            return
+        self.hold_adopted_call(call, caller, link, now)
+
+    def hold_adopted_call(self, call: SipCall, caller: Caller, link: Link, named_at: int) -> None:
+        """Holds a call that stands at the link's exchange, unless that has lost it."""
+        tag, restarts = call.request.tag, self.exchange_calls.restarts
+        latest_set_up = restarts.latest_set_up(named_at)
         call.answered_try = LinkTry(
-            call, 0, request.established_exchange, now, "stands", link=link, latest_set_up=latest_set_up
+            call, 0, link.exchange, named_at, "stands", link=link, latest_set_up=latest_set_up
         )
-        self.calls[call.id] = self.calls_by_tag[request.tag] = call
-        self.established_calls.setdefault(request.established_exchange, {})[request.tag] = call
+        self.calls[call.id] = self.calls_by_tag[tag] = call
+        self.exchange_calls.add(link.exchange, call)
         call.held_bytes = memory.ESTABLISHED_CALL_SIZE
         self.held_bytes += call.held_bytes
         self.adopted_calls.add(call, caller)
+        if restarts.is_lost(link.exchange, latest_set_up):
+            self.end_established_call(call, lines.RESET, release_there=True)
 
     def make_room_for_adoption(self, caller: Caller) -> bool:
         """Returns whether a call named on this connection can be adopted; another one may give way."""
@@ -582,9 +545,7 @@
         if route_try.state == "out":
             link.remove_try(route_try, tag, lines.encode_release(tag, lines.NORMAL) if send_release else b"")
             return
-        calls_there = self.established_calls.get(route_try.exchange, {})
-        if calls_there.pop(tag, None) is not None and not calls_there:
-            del self.established_calls[route_try.exchange]
+        self.exchange_calls.remove(route_try.exchange, tag)
         if send_release:
             self.release_at_exchange(link, tag, lines.encode_release(tag, route_try.call.release_cause))
 
@@ -595,11 +556,10 @@
         if link.retired:
             self.log_dropped_release(link.exchange, tag, "the exchange left the list")
             return
-        if sum(map(len, self.undelivered_releases.values())) >= self.max_stored_releases():
-            longest = max(self.undelivered_releases, key=lambda name: len(self.undelivered_releases[name]))
-            dropped_tag, _ = self.undelivered_releases[longest].popleft()
-            self.log_dropped_release(longest, dropped_tag, "too many releases")
-        self.undelivered_releases.setdefault(link.exchange, deque()).append((tag, data))
+        release = ExchangeRelease(link.exchange, tag, data)
+        dropped = self.undelivered_releases.add(release, self.max_stored_releases())
+        if dropped is not None:
+            self.log_dropped_release(dropped.exchange, dropped.call_id, "too many releases")
 
     def max_stored_releases(self) -> int:
         """Returns the limit of releases kept for all exchanges, and for calls not yet known, each."""
@@ -628,14 +588,7 @@
             self.on_caller_seen(caller, CallerEvidence.PROVEN)
         self.connections.close_if_done(caller)
         if final.kind == ANSWERED:
-            self.keep_only_release(call)
-
-    def keep_only_release(self, call: SipCall) -> None:
-        """Drops what an answered call needed for its set-up and its answer."""
-        call.fields, call.description = {}, ""
-        call.request = replace(call.request, description=b"")
-        self.held_bytes += memory.ESTABLISHED_CALL_SIZE - call.held_bytes
-        call.held_bytes = memory.ESTABLISHED_CALL_SIZE
+            self.held_bytes -= call.keep_only_release()
 
     def on_answer_refused(self, call: SipCall) -> bool:
         """Answers a call as failed after its abandon time, since a call without any answer would be lost."""
@@ -666,8 +619,8 @@
     def on_link_up(self, link: Link) -> None:
         """Sends what waited for a connection of this link."""
         self.log("info", "connected", exchange=link.exchange, waiting=len(link.waiting))
-        for tag, data in self.undelivered_releases.pop(link.exchange, ()):
-            link.send_release(tag, data)  # before a set-up of the same call
+        for release in self.undelivered_releases.take(link.exchange):
+            link.send_release(release.call_id, release.data)  # before a set-up of the same call
         waiting, link.waiting = link.waiting, {}
         member = self.members.get(link.exchange)
         for tag, data in waiting.items():
@@ -709,7 +662,7 @@
         self.log("debug", "connection refused", exchange=link.exchange, nothing_listens=nothing_listens)
         self.fail_waiting_tries(link)
         if nothing_listens and not link.is_up and link.last_end is ConnectionEnd.BROKEN:
-            self.restarts.on_process_gone(link.exchange, self.kernel.now())
+            self.exchange_calls.restarts.on_process_gone(link.exchange, self.kernel.now())
             self.end_calls_at(link.exchange)
 
     def on_line(self, link: Link, connection: LinkConnection, line: lines.Line) -> None:
@@ -735,7 +688,7 @@
             else:
                 link.remove_try(route_try, line.tag, b"")
                 route_try.call.description = line.blob
-                self.established_calls.setdefault(link.exchange, {})[line.tag] = route_try.call
+                self.exchange_calls.add(link.exchange, route_try.call)
                 self.on_answered(route_try, load)
                 return
         elif verb == "FINISH":
@@ -758,15 +711,14 @@
 
     def handle_exchange_release(self, link: Link, line: lines.Line) -> None:
         """Ends the established call, or keeps the release for a call that is adopted later."""
-        call = self.established_calls.get(link.exchange, {}).get(line.tag)
+        call = self.exchange_calls.get(link.exchange, line.tag)
         if call is not None:
             self.end_established_call(call, lines.NORMAL if line.rc == lines.NORMAL else lines.RESET)
             return
         if not is_call_id(line.tag):
             return
-        self.early_releases[link.exchange, line.tag] = self.kernel.now()
-        if len(self.early_releases) > self.max_stored_releases():
-            self.early_releases.popitem(last=False)
+        limit = self.max_stored_releases()
+        if self.early_releases.add(link.exchange, line.tag, self.kernel.now(), limit):
             self.counts.add("early_releases_dropped")
 
     # Periodic work.
@@ -779,15 +731,11 @@
             self.connections.close_late(now)
             self.connections.free_buffers()
             for name, link in list(self.links.items()):
-                if link.retired and not link.is_in_use and name not in self.established_calls:
+                if link.retired and not link.is_in_use and not self.exchange_calls.has_calls_at(name):
                     self.remove_link(link)
                 elif now - link.last_received_at > UNREACHABLE_TIMEOUT:
                     self.end_calls_at(name)
                 link.expire_unconfirmed(now)
             self.releases.expire(now)
             self.recent_call_ids.expire(now)
-            while (
-                self.early_releases
-                and next(iter(self.early_releases.values())) < now - EARLY_RELEASE_RETENTION
-            ):
-                self.early_releases.popitem(last=False)
+            self.early_releases.expire(now)
--- a/peattrestle/platform/connections.py
+++ b/peattrestle/platform/connections.py
@@ -12,16 +12,13 @@
 import traceback
 from collections import OrderedDict
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from peattrestle.calls.core import Counts, Log
 from peattrestle.runtime import ConnectionLost, Coroutine, Kernel, Listener, Stream
 from peattrestle.runtime.supervise import supervised
 from peattrestle.sip import text as sip
 
-if TYPE_CHECKING:
-    from peattrestle.platform.agent import SipCall
-
 MS = 1_000_000  # nanoseconds
 FIRST_MESSAGE_TIMEOUT = 2_000 * MS  # for the first byte of a new connection
 MESSAGE_TIMEOUT = 1_500 * MS  # first to last byte of a connection's first message
@@ -57,8 +54,8 @@
 class Caller:
     """One connection from a caller.
 
-    `open_calls` are the calls received on it that await their answer, by Call-ID. `partial_since` is the time
-    at which an incomplete message began, 0 without one. `evidence` tells whether a caller is behind it.
+    `open_calls` are the Call-IDs of the calls received on it that await their answer. `partial_since` is the
+    time at which an incomplete message began, 0 without one. `evidence` tells whether a caller is behind it.
     `buffered_bytes` were counted for it last; `has_backlog`: whole messages wait in its buffer.
     """
 
@@ -79,7 +76,7 @@
 
     def __init__(self, stream: Stream, now: int) -> None:
         self.stream, self.reader = stream, sip.Reader()
-        self.open_calls: dict[str, SipCall] = {}
+        self.open_calls: dict[str, None] = {}
         self.accepted_at, self.partial_since = now, 0
         self.has_sent_message = False  # at least one complete message
         self.close_reason = ""  # once set, further input is discarded
--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -16,15 +16,13 @@
 
 import enum
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
+from peattrestle.calls.core import RouteTry
 from peattrestle.exchangeline import lines
 from peattrestle.runtime import ConnectFailed, ConnectionLost, Coroutine, Kernel, Stream
 from peattrestle.runtime.supervise import supervised
 
-if TYPE_CHECKING:
-    from peattrestle.platform.agent import LinkTry
-
 MS = 1_000_000  # nanoseconds
 CONNECTIONS_PER_LINK = 2
 MIN_RETRY_DELAY, MAX_RETRY_DELAY = 40 * MS, 250 * MS
@@ -51,6 +49,18 @@
     BROKEN = "broken"
 
 
+@dataclass(slots=True, kw_only=True)
+class LinkTry(RouteTry):
+    """A route try on a link; `connection` is None while its set-up waits for one.
+
+    `latest_set_up` is the latest time at which the call was set up, as far as is known.
+    """
+
+    link: Link
+    latest_set_up: int
+    connection: LinkConnection | None = None
+
+
 class LinkObserver(Protocol):
     """Callbacks of a link."""
 
--- a/peattrestle/platform/shutdown.py
+++ b/peattrestle/platform/shutdown.py
@@ -2,20 +2,46 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Sized
+from typing import Protocol
 
-from peattrestle.platform.connections import LINGER_TIME
+from peattrestle.calls.core import Counts, Log
+from peattrestle.platform.connections import LINGER_TIME, CallerConnections
+from peattrestle.platform.releases import CallerReleases
 from peattrestle.policy.shutdown import ANSWER_BEFORE_CLOSE, ShutdownPlan
-from peattrestle.runtime import Coroutine
-
-if TYPE_CHECKING:
-    from peattrestle.platform.agent import Agent
+from peattrestle.runtime import Coroutine, Kernel
 
 MS = 1_000_000  # nanoseconds
 POLL_INTERVAL = 10 * MS  # nanoseconds
 
 
-def run_shutdown(agent: Agent, plan: ShutdownPlan) -> Coroutine[None]:
+class Stoppable(Protocol):
+    """What a shutdown needs of the agent.
+
+    `last_set_up_at` is the time of the last set-up request. While `refusing_all`, each is refused.
+    `on_stopped` is called at the end.
+    """
+
+    kernel: Kernel
+    connections: CallerConnections
+    releases: CallerReleases
+    counts: Counts
+    log: Log
+    last_set_up_at: int
+    refusing_all: bool
+    on_stopped: Callable[[], None]
+
+    @property
+    def calls(self) -> Sized:
+        """The calls held."""
+        ...
+
+    def fail_open_calls(self, why: str) -> None:
+        """Answers every open call as failed."""
+        ...
+
+
+def run_shutdown(agent: Stoppable, plan: ShutdownPlan) -> Coroutine[None]:
     """Stops the agent at `plan.close_at`, or earlier when it holds no calls and receives no set-ups."""
     kernel = agent.kernel
     while not plan.can_end(kernel.now() + ANSWER_BEFORE_CLOSE, agent.last_set_up_at, len(agent.calls)):
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -279,7 +279,7 @@
     def assert_idle(self) -> None:
         """Checks that no state of calls is left, no coroutine raised, and the guard refused nothing."""
         agent = self.agent
-        assert (agent.calls, agent.calls_by_tag, agent.established_calls, agent.guard.calls) == (
+        assert (agent.calls, agent.calls_by_tag, agent.exchange_calls.by_exchange, agent.guard.calls) == (
             {},
             {},
             {},
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -19,7 +19,11 @@
     harness.advance(100)
     assert caller.statuses() == [408]
     assert exchange.received_verbs() == ["START", "FINISH"]
-    assert (harness.agent.calls, harness.agent.calls_by_tag, harness.agent.established_calls) == ({}, {}, {})
+    assert (harness.agent.calls, harness.agent.calls_by_tag, harness.agent.exchange_calls.by_exchange) == (
+        {},
+        {},
+        {},
+    )
 
 
 def test_a_call_whose_try_ended_in_the_same_turn_is_answered_by_the_controller() -> None:
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -150,6 +150,6 @@
     for number in range(agent.memory_plan.releases + 10):
         for link in agent.links.values():
             agent.release_at_exchange(link, tag(number), b"release\n")
-    queues = agent.undelivered_releases
+    queues = agent.undelivered_releases.queues
     assert sum(map(len, queues.values())) == agent.memory_plan.releases
     assert all(abs(2 * len(queue) - agent.memory_plan.releases) <= 2 for queue in queues.values())
