--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -462,35 +462,44 @@
             if known_call.state == ESTABLISHED and known_call.caller not in self.connections.active:
                 known_call.caller = caller  # replaces its closed connection
             return
-        if not self.make_room_for_adoption(caller):
+        request = replace(request, description=b"")  # only the release of this call is passed on
+        call = SipCall(self.next_id(), now, now, state=ESTABLISHED, request=request, caller=caller, fields={})
+        exchange, restarts = request.established_exchange, self.exchange_calls.restarts
+        link, latest_set_up = self.links.get(exchange), restarts.latest_set_up(now)
+        if link is None or self.early_releases.take(exchange, request.tag):
+            self.counts.add("taken_over")
+            self.send_release(call, lines.RESET if link is None else lines.NORMAL)
+        elif restarts.is_lost(exchange, latest_set_up):
+            self.counts.add("taken_over")
+            self.release_lost_call(call, link)
+        elif self.make_room_for_adoption(caller):
+            self.counts.add("taken_over")
+            self.hold_adopted_call(call, caller, link, latest_set_up)
+        else:
             self.counts.add("refused_at_bound")
             self.log(
                 "warning", "announced call not taken over", reference=request.tag, why="call limit reached"
             )
-            return
-        self.counts.add("taken_over")
-        request = replace(request, description=b"")  # only the release of this call is passed on
-        call = SipCall(self.next_id(), now, now, state=ESTABLISHED, request=request, caller=caller, fields={})
-        link = self.links.get(request.established_exchange)
-        if link is None or self.early_releases.take(request.established_exchange, request.tag):
-            self.send_release(call, lines.RESET if link is None else lines.NORMAL)
-            return
-        self.hold_adopted_call(call, caller, link, now)
 
-    def hold_adopted_call(self, call: SipCall, caller: Caller, link: Link, named_at: int) -> None:
-        """Holds a call that stands at the link's exchange, unless that has lost it."""
-        tag, restarts = call.request.tag, self.exchange_calls.restarts
-        latest_set_up = restarts.latest_set_up(named_at)
+    def release_lost_call(self, call: SipCall, link: Link) -> None:
+        """Releases a named call that its exchange has lost; there as well, since it may stand after all."""
+        tag = call.request.tag
+        self.counts.add("cut")
+        self.log("debug", "call over", reference=tag, cause=lines.RESET)
+        self.send_release(call, lines.RESET)
+        self.release_at_exchange(link, tag, lines.encode_release(tag, lines.NORMAL))
+
+    def hold_adopted_call(self, call: SipCall, caller: Caller, link: Link, latest_set_up: int) -> None:
+        """Holds a call that stands at the link's exchange."""
+        tag = call.request.tag
         call.answered_try = LinkTry(
-            call, 0, link.exchange, named_at, "stands", link=link, latest_set_up=latest_set_up
+            call, 0, link.exchange, call.arrived, "stands", link=link, latest_set_up=latest_set_up
         )
         self.calls[call.id] = self.calls_by_tag[tag] = call
         self.exchange_calls.add(link.exchange, call)
         call.held_bytes = memory.ESTABLISHED_CALL_SIZE
         self.held_bytes += call.held_bytes
         self.adopted_calls.add(call, caller)
-        if restarts.is_lost(link.exchange, latest_set_up):
-            self.end_established_call(call, lines.RESET, release_there=True)
 
     def make_room_for_adoption(self, caller: Caller) -> bool:
         """Returns whether a call named on this connection can be adopted; another one may give way."""
--- a/tests/platform/test_named_calls.py
+++ b/tests/platform/test_named_calls.py
@@ -205,3 +205,17 @@
         apply_feed_event(harness, number, host("s1", 1, state, born_ms=started_ms))
     harness.advance(1000)
     assert_stands(harness, caller)
+
+
+def test_a_call_that_its_exchange_has_lost_is_released_though_no_further_one_can_be_held() -> None:
+    # Guards against a bound of calls held that leaves one standing which needs no room.
+    harness = Harness(limits={"sockets": 96, "memory_mb": 22})
+    tell_start(harness, 2, restart_exchange(harness))
+    most = harness.agent.memory_plan.adopted_calls
+    names = [invite(f"{number:016x}", legs="dest:2;at:s2") for number in range(0x1000, 0x1000 + most + 10)]
+    caller = harness.caller(*names)
+    harness.advance(500)
+    assert len(harness.agent.adopted_calls) == most
+    caller.send(invite(NAMED_CALL, legs=AT_EXCHANGE))
+    harness.advance(500)
+    assert reasons_of(caller, NAMED_CALL) == CUT and len(harness.agent.adopted_calls) == most
