platform: a connection ended for an invalid line is no sign that the process has died

Callers would see: an exchange writes an invalid line on its connections and refuses new ones for a while, and all calls there are released to their callers though they stand.

Cause: such a connection is ended by the agent, and counted like one that a dying process resets. The new test failed before and passes now; tests/platform: 272 passed. Not seen over real processes.

--- a/peattrestle/platform/link.py
+++ b/peattrestle/platform/link.py
@@ -38,10 +38,11 @@
 
 
 class ConnectionEnd(enum.Enum):
-    """How the last connection ended that was up: `CLOSED` in order by the exchange, or `BROKEN` otherwise.
+    """How the last connection ended that was up.
 
-    A dying process resets its connections. One that is alive may close idle ones, and refuse new ones for as
-    long as it holds as many as it accepts.
+    `CLOSED`: by an exchange that is alive, in order, or by the agent for what the exchange sent or left
+    unread. It may refuse new ones for as long as it holds as many as it accepts. `BROKEN`: reset, as by a
+    dying process, or given up as silent.
     """
 
     NONE = "none"
@@ -89,7 +90,7 @@
     `pending_count` is the number of set-ups pending on it, `probed_at` the time of the unanswered probe, 0
     without one, `average_gap` the moving average of the time between signs of life. `missed_reports` counts
     the load reports that only the other connection received since its last sign of life. `is_closed`: the
-    exchange has closed the current connection in order.
+    current connection ends as `ConnectionEnd.CLOSED`.
     """
 
     def __init__(self, link: Link, index: int) -> None:
@@ -167,12 +168,14 @@
                         self.on_received(line.verb == "LOAD")
                     self.link.observer.on_line(self.link, self, line)
                 if stream.unsent > MAX_UNSENT_BYTES:
+                    self.is_closed = True
                     return f"the exchange left {stream.unsent} bytes unread"
                 if len(data) == 65536:
                     yield from self.kernel.sleep(0)  # lets other tasks run while a peer sends without pause
         except ConnectionLost as error:
             return str(error)
         except lines.BadLine as error:
+            self.is_closed = True
             return f"bad line: {error}"
         finally:
             watchdog.cancel()
--- a/tests/platform/test_refused_connections.py
+++ b/tests/platform/test_refused_connections.py
@@ -59,6 +59,22 @@
     assert_stands(harness, caller, TAG)
 
 
+def test_calls_survive_an_exchange_that_writes_an_invalid_line_and_then_refuses_connections() -> None:
+    # The agent ends these connections, so their end says nothing of the process.
+    harness = Harness()
+    harness.advance(500)
+    caller = harness.caller(invite(TAG))
+    exchange = harness.exchanges[1]
+    exchange.listener.close()
+    for stream in exchange.streams:
+        stream.write(b"{\n")
+    harness.advance(1000)
+    assert not harness.agent.links["s1"].is_up
+    listen_again(harness)
+    harness.advance(5000)
+    assert_stands(harness, caller, TAG)
+
+
 def test_calls_at_an_exchange_that_refuses_connections_for_long_are_released_in_time() -> None:
     harness = Harness()
     harness.advance(500)
