--- a/tests/trials/test_rule_checker.py
+++ b/tests/trials/test_rule_checker.py
@@ -234,6 +234,29 @@
     assert broken_rules(record) == ["cut"]
 
 
+@pytest.mark.parametrize(
+    ("end", "ended_after", "broken"),
+    [
+        (ConnectionEnd.CALLER, 900, []),
+        (ConnectionEnd.INJECTED, 900, []),
+        (ConnectionEnd.CALLER, 1_100, ["lost"]),
+        (ConnectionEnd.AGENT_CLOSED, 900, ["lost"]),
+    ],
+)
+def test_a_naming_counts_if_its_connection_was_not_ended_by_its_caller_at_once(
+    end: ConnectionEnd, ended_after: int, broken: list[str]
+) -> None:
+    named_at = SENT_AT + 2_500 * MS
+    attempt = make_attempt("s1", 1, 50, AttemptEnd.STARTED, exchange_ended_at=SENT_AT + 2_400 * MS)
+    record = make_record([ACCEPTED], [attempt])
+    record.caller_connections.append(CallerConnection(0, named_at, requests=1))
+    record.requests[CALL_ID].announced_at = named_at
+    record.requests[CALL_ID].connection = CallerConnection(
+        0, named_at, requests=1, ended_at=named_at + ended_after * MS, end=end
+    )
+    assert broken_rules(record) == broken
+
+
 def test_agent_that_ends_unexpectedly_or_never_becomes_ready_is_reported() -> None:
     record = make_record([refusal(SENT_AT + MS)])
     record.agent_runs[0].ended_at = OBSERVED_UNTIL - MS
