platform: releases of named calls that an exchange has lost are bounded there too

Found by reading the change again: strangers who name calls at an exchange that has restarted, within 8 s of the agent's start, made it send that exchange a release each and keep it until confirmed, for 3 s, without a bound that follows the memory limit; a call that was held before had one.

Change: at the bound of stored releases no further one is sent for such a call; it is logged and counted as dropped.

--- a/peattrestle/platform/agent.py
+++ b/peattrestle/platform/agent.py
@@ -487,6 +487,9 @@
         self.counts.add("cut")
         self.log("debug", "call over", reference=tag, cause=lines.RESET)
         self.send_release(call, lines.RESET)
+        if len(link.unconfirmed) >= self.max_stored_releases():
+            self.log_dropped_release(link.exchange, tag, "too many releases")
+            return
         self.release_at_exchange(link, tag, lines.encode_release(tag, lines.NORMAL))
 
     def hold_adopted_call(self, call: SipCall, caller: Caller, link: Link, latest_set_up: int) -> None:
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -11,7 +11,7 @@
 from peattrestle.platform import config as configuration
 from peattrestle.platform.memory import MIB, plan_memory
 from peattrestle.trials.overload import resident_mb
-from tests.platform.test_agent import Harness, config_text, invite, request
+from tests.platform.test_agent import Harness, config_text, event, host, invite, request
 from tests.platform.test_process import TIMEOUT, read_until, start_process
 
 # One character beyond Latin-1: as a Python string it would need two bytes for each of its characters.
@@ -140,6 +140,20 @@
     assert all(len(tag) == 16 for _, tag in agent.early_releases)
 
 
+def test_releases_of_named_calls_that_their_exchange_has_lost_are_bounded() -> None:
+    # Guards against memory that strangers fill by naming calls at an exchange that has restarted.
+    harness = Harness(limits={"sockets": 96, "memory_mb": 22})
+    agent = harness.agent
+    started_ms = int(harness.kernel.wall_time()) // 1_000_000
+    changes = agent.feed_state.apply_known({"n": 2, "events": [event(2, host("s1", 1, born_ms=started_ms))]})
+    agent.apply_change(changes[0])
+    most = agent.memory_plan.releases
+    harness.caller(*(invite(tag(number), legs="dest:1;at:s1") for number in range(most + 50)))
+    harness.advance(500)
+    assert len(agent.links["s1"].unconfirmed) == most
+    assert agent.counts.values["exchange_releases_dropped"] == 50
+
+
 def test_releases_to_all_exchanges_are_bounded_together() -> None:
     # Guards against a bound for each exchange, which grows with their number.
     harness = Harness(limits={"sockets": 96, "memory_mb": 22})
