trials: only a restart before the set-up excuses the release of a call that stands

Found by reading the change again: the judge let any restart of the exchange excuse a cut, also one that came after the release. It asks now that the restart came before the set-up. A new case of the rule checker's tests shows it; two of the cases said that a call stood on across a restart, their set-ups come after it now.

--- a/peattrestle/trials/rule_checker.py
+++ b/peattrestle/trials/rule_checker.py
@@ -311,8 +311,8 @@
         if request.announced_at:
             namings.append((request.agent, request.announced_at))
         for restart in self.record.restarts:
-            if restart.exchange != attempt.exchange:
-                continue
+            if restart.exchange != attempt.exchange or restart.started_at > attempt.arrived_at:
+                continue  # a later one does not excuse the release of a call that stands
             for agent, named_at in namings:
                 run = self.run_at(agent, named_at)
                 if run is not None and self.is_taken_for_lost(restart, run, named_at):
--- a/tests/trials/test_rule_checker.py
+++ b/tests/trials/test_rule_checker.py
@@ -208,6 +208,7 @@
 @pytest.mark.parametrize(
     ("started_ms", "named_ms", "over_ms", "broken"),
     [
+        (3_500, 3_000, 0, ["cut"]),  # the restart came after the set-up and the naming
         (8_000, 11_000, 0, ["cut"]),
         (8_000, 11_000, 13_000, ["cut"]),
         (8_000, 11_000, 11_900, []),
@@ -222,6 +223,8 @@
     times = {"over_at": SENT_AT + over_ms * MS, "released_at": SENT_AT + over_ms * MS} if over_ms else {}
     record = record_of_named_call(restart, named_ms, **times)
     record.requests[CALL_ID].released_at = SENT_AT + 12_000 * MS
+    if started_ms < named_ms:
+        record.attempts[0].arrived_at = restart.started_at + MS
     assert broken_rules(record) == broken
 
 
